Set down the shape and the path of a call end to end

Cause: nothing existed; the shape of the code has to be in the first commit.

Conclusion: the shape stands and runs; membership, targets and decisions are thin and grow from here.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+VENV ?= .venv
+PYTHON ?= python3.11
+PY = $(VENV)/bin/python
+ARGS ?=
+export PYTHONPATH := $(CURDIR)
+export PYTHONDONTWRITEBYTECODE = 1
+
+.PHONY: run test lint format types unit measure faults install
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --requirement requirements.lock
+	touch $@
+
+run: install
+	$(PY) -m bergamotshunt local $(ARGS)
+
+lint: install
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/flake8 .
+	$(VENV)/bin/lint-imports
+	$(VENV)/bin/mypy
+
+format: install
+	$(VENV)/bin/ruff format .
+
+unit: install
+	$(PY) -m pytest $(ARGS)
+
+test: lint unit
+
+measure: install
+	$(PY) -m bench.measure $(ARGS)
+
+faults: install
+	$(PY) -m bench.faults $(ARGS)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool, measurements and the fault matrix."""
--- /dev/null
+++ b/bergamotshunt/__init__.py
@@ -0,0 +1,1 @@
+"""Load balancer that meets operators' targets over live backend servers."""
--- /dev/null
+++ b/bergamotshunt/daemon.py
@@ -0,0 +1,72 @@
+"""The daemon: one kernel that runs until it is told to stop."""
+
+from asyncio import (
+    FIRST_COMPLETED,
+    Event,
+    Runner,
+    create_task,
+    get_running_loop,
+    wait,
+)
+from os import environ
+from random import Random
+from signal import SIGINT, SIGTERM
+from time import time
+from typing import Final
+
+from bergamotshunt.kernel import Context, Kernel, Post
+from bergamotshunt.log import configure_log, log_event
+from bergamotshunt.settings import Settings
+
+# The platform's hosts forbid io_uring; libuv reads this before it starts.
+environ['UV_USE_IO_URING'] = '0'
+
+MS_PER_S: Final = 1000
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+
+
+def create_kernel(settings: Settings, seed: int | None = None) -> Kernel:
+    """Create the kernel of a daemon; a running event loop is needed."""
+    return Kernel(
+        Context(
+            settings=settings,
+            post=Post(),
+            rng=Random(seed),
+            process_id=int(time() * MS_PER_S),
+        ),
+    )
+
+
+async def run_until_signal(settings: Settings) -> int:
+    """Run a daemon until SIGTERM or SIGINT, then drain it.
+
+    Returns:
+        The exit code.
+    """
+    stopping = Event()
+    loop = get_running_loop()
+    for number in (SIGTERM, SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    kernel = create_kernel(settings)
+    await kernel.start()
+    await wait(
+        (create_task(stopping.wait()), create_task(kernel.failed.wait())),
+        return_when=FIRST_COMPLETED,
+    )
+    if kernel.failed.is_set():
+        await kernel.stop()
+        return EXIT_FAILED
+    drained = await kernel.drain(settings.daemon.drain_timeout_s)
+    log_event('daemon:drained', complete=drained)
+    await kernel.stop()
+    return EXIT_OK if drained else EXIT_FAILED
+
+
+def run_daemon(settings: Settings) -> int:
+    """Run a daemon on a uvloop event loop; see ``run_until_signal``."""
+    from uvloop import new_event_loop  # noqa: PLC0415, WPS433
+
+    configure_log(settings.daemon.log_level)
+    with Runner(loop_factory=new_event_loop) as runner:
+        return runner.run(run_until_signal(settings))
--- /dev/null
+++ b/bergamotshunt/headers.py
@@ -0,0 +1,52 @@
+"""Names of the HTTP headers between processes, and their values."""
+
+from typing import Final
+
+from bergamotshunt.calls import LoadReport
+
+REQUEST_ID: Final = 'bergamotshunt-request-id'
+DEADLINE_MS: Final = 'bergamotshunt-deadline-ms'
+TARGET: Final = 'bergamotshunt-target'
+REVISION: Final = 'bergamotshunt-revision'
+DEPTH: Final = 'bergamotshunt-depth'
+ATTEMPT: Final = 'bergamotshunt-attempt'
+INCARNATION: Final = 'bergamotshunt-incarnation'
+INTERNAL: Final = 'bergamotshunt-internal'
+BOOKING_KEY: Final = 'idempotency-key'
+VERDICT: Final = 'bergamotshunt-verdict'
+LOAD: Final = 'bergamotshunt-load'
+SERVER: Final = 'bergamotshunt-server'
+REPLAYED: Final = 'bergamotshunt-replayed'
+SUCCESSOR: Final = 'bergamotshunt-successor'
+CONTENT_DIGEST: Final = 'content-digest'
+CONTENT_LENGTH: Final = 'content-length'
+RETRY_AFTER: Final = 'retry-after'
+
+HOP_BY_HOP: Final = frozenset(
+    (
+        'connection',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+
+def format_load(report: LoadReport) -> str:
+    """Encode a load report as a header value."""
+    return ';'.join(str(field) for field in report)
+
+
+def parse_load(text: str) -> LoadReport | None:
+    """Decode a load report; None when the value is malformed."""
+    fields = text.split(';')
+    if len(fields) != len(LoadReport._fields):
+        return None
+    if not all(field.isdecimal() for field in fields):
+        return None
+    return LoadReport(*(int(field) for field in fields))
--- /dev/null
+++ b/bergamotshunt/kernel.py
@@ -0,0 +1,319 @@
+"""Kernel: loads plug-ins, runs their tasks and carries their messages."""
+
+from asyncio import (
+    CancelledError,
+    Event,
+    Future,
+    Queue,
+    create_task,
+    gather,
+    get_running_loop,
+    wait_for,
+)
+from asyncio import Task as AsyncioTask
+from collections import defaultdict
+from collections.abc import Callable, Coroutine
+from importlib import import_module
+from inspect import isawaitable
+from pkgutil import iter_modules
+from random import Random
+from time import monotonic
+from typing import Any, Final, NamedTuple, TypeVar
+
+from bergamotshunt import plugins as plugin_package
+from bergamotshunt.log import log_error, log_event
+from bergamotshunt.messages import PortBound
+from bergamotshunt.registries import Registry
+from bergamotshunt.settings import Settings
+
+MAILBOX_SIZE: Final = 10_000
+ASK_TIMEOUT_S: Final = 10
+
+Handler = Callable[[Any, Any], Any]
+HandlerType = TypeVar('HandlerType', bound=Handler)
+
+
+class Envelope(NamedTuple):
+    """A message and, for a question, where the reply goes."""
+
+    message: Any
+    reply: Future[Any] | None
+
+
+Mailbox = Queue[Envelope]
+
+
+class NoHandlerError(LookupError):
+    """No running task handles this type of question."""
+
+
+class Post:
+    """Carries messages to the mailboxes of the tasks that handle them."""
+
+    def __init__(self) -> None:
+        """Create a post without subscribers."""
+        self.mailboxes_by_type: dict[type, list[Mailbox]] = defaultdict(list)
+
+    def subscribe(self, message_type: type, mailbox: Mailbox) -> None:
+        """Deliver messages of this type to the mailbox from now on."""
+        self.mailboxes_by_type[message_type].append(mailbox)
+
+    def publish(self, message: Any) -> None:
+        """Deliver a message to all tasks that handle its type.
+
+        Raises:
+            asyncio.QueueFull: A task stopped reading its mailbox.
+        """
+        for mailbox in self.mailboxes_by_type.get(type(message), ()):
+            mailbox.put_nowait(Envelope(message, None))
+
+    async def ask(
+        self,
+        message: Any,
+        timeout_s: float = ASK_TIMEOUT_S,
+    ) -> Any:
+        """Deliver a question to the one task that handles it.
+
+        Returns:
+            The reply of that task.
+
+        Raises:
+            NoHandlerError: No task handles this type.
+            TimeoutError: No reply in time.
+        """
+        replies = await self.ask_all(message, timeout_s)
+        if not replies:
+            raise NoHandlerError(type(message).__name__)
+        return replies[0]
+
+    async def ask_all(
+        self,
+        message: Any,
+        timeout_s: float = ASK_TIMEOUT_S,
+    ) -> list[Any]:
+        """Deliver a question to all tasks that handle it.
+
+        Returns:
+            Their replies, in the order in which the tasks subscribed.
+        """
+        loop = get_running_loop()
+        futures = []
+        for mailbox in self.mailboxes_by_type.get(type(message), ()):
+            reply: Future[Any] = loop.create_future()
+            mailbox.put_nowait(Envelope(message, reply))
+            futures.append(reply)
+        return await wait_for(gather(*futures), timeout_s)
+
+
+class HandlerTable:
+    """Handlers of one kind of task, by message type.
+
+    A plain handler runs in the order of the mailbox. A coroutine handler
+    runs as a child of the task, so that it may wait without holding up
+    the mailbox.
+    """
+
+    def __init__(self) -> None:
+        """Create an empty table."""
+        self.by_type: dict[type, Handler] = {}
+
+    def on(self, message_type: type) -> Callable[[HandlerType], HandlerType]:
+        """Return a decorator that registers a handler for the type."""
+
+        def decorator(handler: HandlerType) -> HandlerType:
+            self.by_type[message_type] = handler
+            return handler
+
+        return decorator
+
+
+class Context(NamedTuple):
+    """What the kernel gives to the factory of a plug-in.
+
+    Attributes:
+        settings: Checked settings of the daemon.
+        post: Carries messages to other tasks.
+        rng: Random source of the daemon.
+        process_id: Start of this process, ms since the epoch.
+        clock: Monotonic time in seconds.
+    """
+
+    settings: Settings
+    post: Post
+    rng: Random
+    process_id: int
+    clock: Callable[[], float] = monotonic
+
+
+class Task:
+    """Base of all tasks: owns state and sockets, reads a mailbox.
+
+    Attributes:
+        name: Name for logs and status.
+        handlers: Handlers by message type; one table for each subclass.
+    """
+
+    name = 'task'
+    handlers = HandlerTable()
+
+    def __init__(self, context: Context) -> None:
+        """Create the task and subscribe its mailbox."""
+        self.context = context
+        self.settings = context.settings
+        self.post = context.post
+        self.mailbox: Mailbox = Queue(MAILBOX_SIZE)
+        self._children: set[AsyncioTask[Any]] = set()
+        for message_type in self.handlers.by_type:
+            context.post.subscribe(message_type, self.mailbox)
+
+    async def open(self) -> None:
+        """Bind sockets and create sessions; ask no other task yet."""
+
+    async def start(self) -> None:
+        """Start timers and talk to other tasks; all tasks are open."""
+
+    async def drain(self) -> None:
+        """Refuse new work and wait for the work in flight."""
+
+    async def close(self) -> None:
+        """Close sockets; the base ends all children."""
+        for child in tuple(self._children):
+            child.cancel()
+        await gather(*self._children, return_exceptions=True)
+
+    def now_ms(self) -> float:
+        """Return the monotonic time in milliseconds."""
+        return self.context.clock() * 1000
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> AsyncioTask[Any]:
+        """Run a coroutine as a child that ends with the task."""
+        child = create_task(work)
+        self._children.add(child)
+        child.add_done_callback(self._forget_child)
+        return child
+
+    async def run(self) -> None:
+        """Handle messages until the task is cancelled."""
+        while True:
+            self._handle(await self.mailbox.get())
+
+    def _handle(self, envelope: Envelope) -> None:
+        handler = self.handlers.by_type[type(envelope.message)]
+        try:
+            outcome = handler(self, envelope.message)
+        except Exception as error:
+            self._fail(envelope, error)
+            return
+        if isawaitable(outcome):
+            self.spawn(self._finish(envelope, outcome))
+        elif envelope.reply is not None and not envelope.reply.done():
+            envelope.reply.set_result(outcome)
+
+    async def _finish(self, envelope: Envelope, pending: Any) -> None:
+        try:
+            outcome = await pending
+        except CancelledError:
+            if envelope.reply is not None:
+                envelope.reply.cancel()
+            raise
+        except Exception as error:
+            self._fail(envelope, error)
+            return
+        if envelope.reply is not None and not envelope.reply.done():
+            envelope.reply.set_result(outcome)
+
+    def _fail(self, envelope: Envelope, error: Exception) -> None:
+        log_error('task:handler-failed', error, task=self.name)
+        if envelope.reply is not None and not envelope.reply.done():
+            envelope.reply.set_exception(error)
+
+    def _forget_child(self, child: AsyncioTask[Any]) -> None:
+        self._children.discard(child)
+        if child.cancelled():
+            return
+        error = child.exception()
+        if error is not None:
+            log_error('task:child-failed', error, task=self.name)
+
+
+PluginFactory = Callable[[Context], Task]
+PLUGINS: Final[Registry[PluginFactory]] = Registry('plug-in')
+
+
+def load_plugins() -> None:
+    """Import all modules of the plug-in package; each registers itself."""
+    for module in iter_modules(plugin_package.__path__):
+        import_module(f'{plugin_package.__name__}.{module.name}')
+
+
+class Kernel:
+    """Runs the tasks of one daemon.
+
+    Args:
+        context: Shared by all tasks.
+        names: Plug-ins to run; all registered ones by default.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        names: tuple[str, ...] | None = None,
+    ) -> None:
+        """Create the tasks without starting them."""
+        load_plugins()
+        self.context = context
+        self.failed = Event()
+        self.tasks_by_name = {
+            name: PLUGINS.get(name)(context)
+            for name in names or PLUGINS.names()
+        }
+        self.ports_by_kind: dict[str, int] = {}
+        self._mailbox: Mailbox = Queue()
+        context.post.subscribe(PortBound, self._mailbox)
+        self._loops: list[AsyncioTask[None]] = []
+
+    async def start(self) -> None:
+        """Open all tasks, then start them and their mailbox loops."""
+        for opening in self.tasks_by_name.values():
+            await opening.open()
+        self._note_ports()
+        for task in self.tasks_by_name.values():
+            loop = create_task(task.run())
+            loop.add_done_callback(self._note_end)
+            self._loops.append(loop)
+        for starting in self.tasks_by_name.values():
+            await starting.start()
+        log_event('daemon:started', daemon=self.context.settings.daemon.id)
+
+    async def drain(self, timeout_s: float) -> bool:
+        """Drain all tasks.
+
+        Returns:
+            Whether all work in flight ended in time.
+        """
+        draining = gather(
+            *(task.drain() for task in self.tasks_by_name.values()),
+        )
+        try:
+            await wait_for(draining, timeout_s)
+        except TimeoutError:
+            return False
+        return True
+
+    async def stop(self) -> None:
+        """Close all tasks in reverse order and end their loops."""
+        for task in reversed(tuple(self.tasks_by_name.values())):
+            await task.close()
+        for loop in self._loops:
+            loop.cancel()
+        await gather(*self._loops, return_exceptions=True)
+        log_event('daemon:stopped', daemon=self.context.settings.daemon.id)
+
+    def _note_ports(self) -> None:
+        while not self._mailbox.empty():
+            bound = self._mailbox.get_nowait().message
+            self.ports_by_kind[bound.kind] = bound.port
+
+    def _note_end(self, loop: AsyncioTask[None]) -> None:
+        if not loop.cancelled():
+            self.failed.set()
--- /dev/null
+++ b/bergamotshunt/log.py
@@ -0,0 +1,46 @@
+"""Structured logs: JSON lines by eliot."""
+
+from sys import stderr
+from typing import Any, Final, TextIO
+
+from eliot import FileDestination, add_destinations, log_message
+
+LEVELS: Final = ('debug', 'info', 'error')
+
+
+def configure_log(level: str, stream: TextIO = stderr) -> None:
+    """Write log lines of ``level`` and above to the stream."""
+    state.lowest = LEVELS.index(level)
+    add_destinations(FileDestination(file=stream))
+
+
+class LogState:
+    """Lowest level that is written, as an index into ``LEVELS``."""
+
+    lowest = LEVELS.index('info')
+
+
+state: Final = LogState()
+
+
+def log_event(message_type: str, level: str = 'info', **fields: Any) -> None:
+    """Write one line.
+
+    Args:
+        message_type: Stable name of the event, such as ``guard:drained``.
+        level: One of ``LEVELS``.
+        fields: Further fields; never bodies or secrets.
+    """
+    if LEVELS.index(level) >= state.lowest:
+        log_message(message_type=message_type, level=level, **fields)
+
+
+def log_error(message_type: str, error: BaseException, **fields: Any) -> None:
+    """Write one line for an unexpected error."""
+    log_event(
+        message_type,
+        level='error',
+        error=type(error).__name__,
+        detail=str(error),
+        **fields,
+    )
--- /dev/null
+++ b/bergamotshunt/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Plug-ins of the kernel; each module registers its task's factory."""
--- /dev/null
+++ b/bergamotshunt/registries.py
@@ -0,0 +1,55 @@
+"""Registries of named entries, filled by decorators."""
+
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+Entry = TypeVar('Entry')
+
+
+class UnknownEntryError(LookupError):
+    """A name that no entry of the registry has."""
+
+
+class Registry(Generic[Entry]):
+    """Named entries of one kind, such as choosers or plug-ins.
+
+    Args:
+        kind: What the entries are, for error messages.
+    """
+
+    def __init__(self, kind: str) -> None:
+        """Create an empty registry."""
+        self.kind = kind
+        self.by_name: dict[str, Entry] = {}
+
+    def register(self, name: str) -> Callable[[Entry], Entry]:
+        """Return a decorator that stores its argument under ``name``.
+
+        Raises:
+            ValueError: The name is taken already.
+        """
+
+        def decorator(entry: Entry) -> Entry:
+            if name in self.by_name:
+                raise ValueError(f'{self.kind} {name!r} is registered twice')
+            self.by_name[name] = entry
+            return entry
+
+        return decorator
+
+    def get(self, name: str) -> Entry:
+        """Return the entry called ``name``.
+
+        Raises:
+            UnknownEntryError: No such entry; the message lists the names.
+        """
+        if name not in self.by_name:
+            known = ', '.join(self.names())
+            raise UnknownEntryError(
+                f'unknown {self.kind} {name!r}; known: {known}',
+            )
+        return self.by_name[name]
+
+    def names(self) -> tuple[str, ...]:
+        """Return the names of all entries, sorted."""
+        return tuple(sorted(self.by_name))
--- /dev/null
+++ b/bergamotshunt/settings.py
@@ -0,0 +1,248 @@
+"""Settings: defaults, reader of INI files, and the checks on every value."""
+
+from configparser import ConfigParser, Error
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from bergamotshunt.setting_rules import (
+    LIMITS,
+    PARSERS,
+    BadSetting,
+    Limit,
+)
+
+
+class DaemonSettings(NamedTuple):
+    """Section ``daemon``: identity, place and ports of this process."""
+
+    id: str = ''
+    ip: str = '127.0.0.1'
+    region: str = 'region-1'
+    availability_zone: str = 'zone-1'
+    callers_port: int = 0
+    peers_port: int = 0
+    admin_port: int = 0
+    gossip_port: int = 0
+    known_peers: tuple[str, ...] = ()
+    drain_timeout_s: int = 30
+    log_level: str = 'info'
+
+
+class BackendServerSettings(NamedTuple):
+    """Section ``backend_server``: the server beside this daemon."""
+
+    service: str = ''
+    url: str = ''
+    slots: int = 10
+    connections: int = 200
+    health_path: str = '/health'
+    load_path: str = '/load'
+    drain_path: str = ''
+
+
+class PlatformSettings(NamedTuple):
+    """Section ``platform``: the key-value service."""
+
+    urls: tuple[str, ...] = ()
+    prefix: str = 'bergamotshunt/'
+    timeout_ms: int = 1000
+    calls_per_s: int = 20
+
+
+class CallsSettings(NamedTuple):
+    """Section ``calls``: data path."""
+
+    max_in_flight: int = 256
+    body_buffer_bytes: int = 262_144
+    max_body_bytes: int = 67_108_864
+    max_head_bytes: int = 16_384
+    default_deadline_ms: int = 5000
+    chooser: str = 'two-choices'
+    limiter: str = 'gradient'
+    retry_share: float = 0.1
+    hedge_share: float = 0.02
+    max_ejected_share: float = 0.33
+
+
+class BookingsSettings(NamedTuple):
+    """Section ``bookings``: memory of booking keys."""
+
+    era_s: int = 600
+    eras_kept: int = 6
+    answer_bytes: int = 8192
+    answers_bytes: int = 33_554_432
+
+
+class MembershipSettings(NamedTuple):
+    """Section ``membership``: failure detection."""
+
+    probe_interval_ms: int = 1000
+    probe_timeout_ms: int = 300
+    suspicion_factor: int = 4
+    sync_interval_s: int = 120
+    peer_probe_per_s: int = 8
+
+
+class TargetsSettings(NamedTuple):
+    """Section ``targets``: spread of the operators' targets."""
+
+    confirm_within_s: float = 6
+    refuse_unconfirmed: bool = False
+    readers_per_zone: int = 2
+    push_fanout: int = 4
+    audit_records: int = 10_000
+
+
+class MeasuringSettings(NamedTuple):
+    """Section ``measuring``: cost of load measurement."""
+
+    probe_cost_ms: float = 5
+    health_interval_ms: int = 1000
+
+
+class Settings(NamedTuple):
+    """All settings of a daemon.
+
+    ``operators`` maps the name of each operator to the token that
+    identifies the operator at the administration API.
+    """
+
+    daemon: DaemonSettings = DaemonSettings()
+    backend_server: BackendServerSettings = BackendServerSettings()
+    platform: PlatformSettings = PlatformSettings()
+    calls: CallsSettings = CallsSettings()
+    bookings: BookingsSettings = BookingsSettings()
+    membership: MembershipSettings = MembershipSettings()
+    targets: TargetsSettings = TargetsSettings()
+    measuring: MeasuringSettings = MeasuringSettings()
+    operators: dict[str, str] = {}
+
+
+OPERATORS: Final = 'operators'
+MIN_TOKEN_LENGTH: Final = 16
+
+
+def read_settings(path: Path) -> Result[Settings, tuple[BadSetting, ...]]:
+    """Read and check an INI file.
+
+    Returns:
+        The settings, or all bad values at once.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure(
+            (BadSetting('', '', str(path), f'a readable file ({error})'),)
+        )
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Result[Settings, tuple[BadSetting, ...]]:
+    """Check the text of an INI file; see ``read_settings``."""
+    parser = ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+    except Error as error:
+        return Failure((BadSetting('', '', str(error), 'INI syntax'),))
+    errors: list[BadSetting] = []
+    settings = Settings()
+    for section in parser.sections():
+        entries = dict(parser[section])
+        if section == OPERATORS:
+            errors.extend(check_operators(entries))
+            settings = settings._replace(operators=entries)
+        elif section in Settings._fields:
+            part = read_section(section, entries, errors)
+            settings = settings._replace(**{section: part})
+        else:
+            allowed = ', '.join(Settings._fields)
+            errors.append(
+                BadSetting(section, '', '', f'one of the sections {allowed}')
+            )
+    errors.extend(check_required(settings))
+    return Failure(tuple(errors)) if errors else Success(settings)
+
+
+def read_section(
+    section: str,
+    entries: dict[str, str],
+    errors: list[BadSetting],
+) -> Any:
+    """Read one section into its tuple; append what is wrong to ``errors``."""
+    defaults = Settings._field_defaults[section]
+    checked: dict[str, Any] = {}
+    for key, text in entries.items():
+        if key not in defaults._fields:
+            allowed = ', '.join(defaults._fields)
+            errors.append(
+                BadSetting(section, key, text, f'one of the keys {allowed}')
+            )
+            continue
+        outcome = parse_value(section, key, text, type(getattr(defaults, key)))
+        if isinstance(outcome, BadSetting):
+            errors.append(outcome)
+        else:
+            checked[key] = outcome
+    return defaults._replace(**checked)
+
+
+def parse_value(section: str, key: str, text: str, kind: type) -> Any:
+    """Parse and check one value.
+
+    Returns:
+        The value, or a ``BadSetting``.
+    """
+    parser, wanted = PARSERS[kind]
+    limit = LIMITS.get(f'{section}.{key}', Limit(wanted, None))
+    try:
+        parsed = parser(text)
+    except ValueError:
+        return BadSetting(section, key, text, limit.allowed)
+    if limit.check is not None and not limit.check(parsed):
+        return BadSetting(section, key, text, limit.allowed)
+    return parsed
+
+
+def check_operators(tokens_by_name: dict[str, str]) -> list[BadSetting]:
+    """Check the tokens; the error never contains the token."""
+    return [
+        BadSetting(
+            OPERATORS,
+            name,
+            '(hidden)',
+            f'a token of at least {MIN_TOKEN_LENGTH} characters',
+        )
+        for name, token in tokens_by_name.items()
+        if len(token) < MIN_TOKEN_LENGTH
+    ]
+
+
+def check_required(settings: Settings) -> list[BadSetting]:
+    """Check what must be there and what belongs together."""
+    errors = []
+    if not settings.daemon.id:
+        errors.append(
+            BadSetting('daemon', 'id', '', 'a name that is unique in the fleet')
+        )
+    if not settings.platform.urls:
+        errors.append(
+            BadSetting(
+                'platform',
+                'urls',
+                '',
+                'at least one URL of the key-value service',
+            )
+        )
+    server = settings.backend_server
+    if bool(server.service) != bool(server.url):
+        errors.append(
+            BadSetting(
+                'backend_server',
+                'url',
+                server.url,
+                'service and url together, or neither',
+            ),
+        )
+    return errors
--- /dev/null
+++ b/bergamotshunt/tests/test_path.py
@@ -0,0 +1,108 @@
+"""The whole path from a caller to a backend server and back."""
+
+import asyncio
+
+from msgspec.json import encode
+from returns.result import Success
+
+from bergamotshunt.daemon import create_kernel
+from bergamotshunt.headers import REQUEST_ID, VERDICT
+from bergamotshunt.kernel import Mailbox
+from bergamotshunt.messages import MembersChanged, TargetsChanged
+from bergamotshunt.settings import (
+    BackendServerSettings,
+    DaemonSettings,
+    PlatformSettings,
+    Settings,
+)
+from bergamotshunt.targets import ServiceTargets, Target
+from bergamotshunt.transport import HttpAnswer, HttpRequest, Sender
+from bergamotshunt.web import HttpServer
+from standins.backend import BackendStandIn
+from standins.platform import PlatformStandIn, Stored
+
+TARGETS = ServiceTargets(
+    'jar-ledger',
+    (
+        Target('balance', ('GET',), '/balances', idempotent=True),
+        Target('refund', ('POST',), '/refunds'),
+    ),
+    revision=1,
+)
+
+
+def settings_of(
+    name: str, platform: int, backend: int, peers: tuple[str, ...] = ()
+) -> Settings:
+    return Settings(
+        daemon=DaemonSettings(id=name, known_peers=peers),
+        backend_server=BackendServerSettings(
+            'jar-ledger', f'http://127.0.0.1:{backend}'
+        ),
+        platform=PlatformSettings((f'http://127.0.0.1:{platform}',)),
+    )
+
+
+async def ask(sender: Sender, port: int, path: str) -> HttpAnswer:
+    outcome = await sender.send(
+        HttpRequest(
+            'GET',
+            f'http://127.0.0.1:{port}{path}',
+            {REQUEST_ID: 'r1'},
+            b'',
+            5000,
+        ),
+    )
+    assert isinstance(outcome, Success), outcome
+    return outcome.unwrap()
+
+
+async def walk() -> None:
+    stand_in = PlatformStandIn()
+    stand_in.by_key['bergamotshunt/targets/jar-ledger'] = Stored(
+        encode(TARGETS), 1, 1
+    )
+    platform = HttpServer(stand_in.app, '127.0.0.1', 0)
+    await platform.open()
+    servers = [
+        HttpServer(BackendStandIn(f's{number}'), '127.0.0.1', 0)
+        for number in (1, 2)
+    ]
+    for server in servers:
+        await server.open()
+    first = create_kernel(settings_of('d1', platform.port, servers[0].port), 1)
+    await first.start()
+    peer = f'127.0.0.1:{first.ports_by_kind["peers"]}'
+    members: Mailbox = asyncio.Queue()
+    first.context.post.subscribe(MembersChanged, members)
+    targets: Mailbox = asyncio.Queue()
+    first.context.post.subscribe(TargetsChanged, targets)
+    second = create_kernel(
+        settings_of('d2', platform.port, servers[1].port, (peer,)), 2
+    )
+    await second.start()
+    sender = Sender(10)
+    async with asyncio.timeout(20):
+        await targets.get()
+        while 'd2' not in (await members.get()).message.members_by_id:
+            pass
+    port = first.ports_by_kind['callers']
+    answer = await ask(sender, port, '/jar-ledger/balances/7?x=1')
+    assert answer.status == 200
+    assert answer.headers[VERDICT] == 'ran'
+    assert answer.headers[REQUEST_ID] == 'r1'
+    assert answer.body.endswith(b'GET /balances/7 0')
+    refused = await ask(sender, port, '/catalog/packs')
+    assert refused.status == 404
+    assert refused.headers[VERDICT] == 'not-run'
+    await sender.close()
+    for kernel in (second, first):
+        assert await kernel.drain(5)
+        await kernel.stop()
+    for server in (*servers, platform):
+        await server.close()
+
+
+def test_call_passes_through_two_daemons() -> None:
+    """Guards against a break anywhere on the path of a call."""
+    asyncio.run(walk())
--- /dev/null
+++ b/bergamotshunt/web.py
@@ -0,0 +1,212 @@
+"""HTTP servers of the daemon on uvicorn, and helpers for raw ASGI."""
+
+from asyncio import Event, create_task, wait
+from asyncio import Task as AsyncioTask
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
+from http import HTTPStatus
+from socket import (
+    AF_INET,
+    AF_INET6,
+    SO_REUSEADDR,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    socket,
+)
+from typing import Any, Final
+
+from msgspec.json import encode
+from uvicorn import Config, Server
+
+from bergamotshunt.headers import REQUEST_ID, RETRY_AFTER, SUCCESSOR, VERDICT
+from bergamotshunt.verdicts import CallFailure, create_problem
+
+BACKLOG: Final = 2048
+CLOSE_TIMEOUT_S: Final = 5
+KEEP_ALIVE_S: Final = 75
+MS_PER_S: Final = 1000
+
+
+class CallerGoneError(ConnectionError):
+    """The sender closed its connection before its body was complete."""
+
+
+class BodyTooLargeError(ValueError):
+    """A body is larger than the bound."""
+
+
+class _Server(Server):
+    """A uvicorn server that leaves signals alone and tells when it listens."""
+
+    def __init__(self, config: Config) -> None:
+        super().__init__(config)
+        self.listening = Event()
+        self.stopping = Event()
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+    async def startup(self, sockets: list[socket] | None = None) -> None:
+        await super().startup(sockets=sockets)
+        self.listening.set()
+
+    async def main_loop(self) -> None:
+        # uvicorn wakes ten times a second to look at its exit flag.
+        await self.stopping.wait()
+
+
+class HttpServer:
+    """One listening port of a task.
+
+    Args:
+        app: ASGI application; lifespan events are off.
+        ip: IP number to bind.
+        port: TCP port; 0 asks the operating system for one.
+    """
+
+    def __init__(self, app: Any, ip: str, port: int) -> None:
+        """Bind the port, so that its number is known before start."""
+        family = AF_INET6 if ':' in ip else AF_INET
+        self._socket = socket(family, SOCK_STREAM)
+        self._socket.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        self._socket.bind((ip, port))
+        self.port: int = self._socket.getsockname()[1]
+        config = Config(
+            app,
+            loop='none',
+            interface='asgi3',
+            http='httptools',
+            ws='none',
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            proxy_headers=False,
+            server_header=False,
+            date_header=False,
+            backlog=BACKLOG,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
+        )
+        self._server = _Server(config)
+        self._serving: AsyncioTask[None] | None = None
+
+    async def open(self) -> None:
+        """Listen and serve.
+
+        Raises:
+            RuntimeError: The server ended before it listened.
+        """
+        self._serving = create_task(
+            self._server.serve(sockets=[self._socket]),
+        )
+        listening = create_task(self._server.listening.wait())
+        await wait(
+            (self._serving, listening),
+            return_when='FIRST_COMPLETED',
+        )
+        if not listening.done():
+            listening.cancel()
+            raise RuntimeError(f'no HTTP server on port {self.port}')
+
+    async def close(self) -> None:
+        """Stop listening and end open connections."""
+        self._server.should_exit = True
+        self._server.stopping.set()
+        if self._serving is not None:
+            await wait((self._serving,), timeout=CLOSE_TIMEOUT_S)
+
+
+def decode_headers(scope: Mapping[str, Any]) -> dict[str, str]:
+    """Return the request headers of an ASGI scope, names in lower case."""
+    return {
+        name.decode('latin-1'): text.decode('latin-1')
+        for name, text in scope['headers']
+    }
+
+
+def encode_headers(items: Any) -> list[tuple[bytes, bytes]]:
+    """Encode pairs of header name and value for ASGI."""
+    return [
+        (name.encode('latin-1'), text.encode('latin-1')) for name, text in items
+    ]
+
+
+async def read_body(receive: Any, max_bytes: int) -> bytes:
+    """Read a whole request body.
+
+    Raises:
+        BodyTooLargeError: It is longer than ``max_bytes``.
+        CallerGoneError: The sender left.
+    """
+    message = await receive()
+    if not message.get('more_body', False):
+        check_message(message, 0, max_bytes)
+        return message.get('body', b'')
+    chunks = [message.get('body', b'')]
+    size = len(chunks[0])
+    while message.get('more_body', False):
+        message = await receive()
+        check_message(message, size, max_bytes)
+        chunks.append(message.get('body', b''))
+        size += len(chunks[-1])
+    return b''.join(chunks)
+
+
+def check_message(message: Any, size: int, max_bytes: int) -> None:
+    """Check one ASGI message of a request body; see ``read_body``."""
+    if message['type'] == 'http.disconnect':
+        raise CallerGoneError('the sender closed the connection')
+    if size + len(message.get('body', b'')) > max_bytes:
+        raise BodyTooLargeError(f'the body is larger than {max_bytes} bytes')
+
+
+async def send_whole(
+    send: Any,
+    status: int,
+    header_items: Any,
+    body: bytes,
+) -> None:
+    """Send a whole answer with its length."""
+    headers = encode_headers(header_items)
+    headers.append((b'content-length', b'%d' % len(body)))
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': headers,
+        }
+    )
+    await send({'type': 'http.response.body', 'body': body})
+
+
+async def send_failure(
+    send: Any,
+    failure: CallFailure,
+    request_id: str,
+) -> None:
+    """Send a problem document with the verdict."""
+    header_items = [
+        ('content-type', 'application/problem+json'),
+        (VERDICT, failure.verdict.value),
+        (REQUEST_ID, request_id),
+    ]
+    if failure.retry_after_ms:
+        retry_after_s = -(-failure.retry_after_ms // MS_PER_S)
+        header_items.append((RETRY_AFTER, str(retry_after_s)))
+    if failure.successor:
+        header_items.append((SUCCESSOR, failure.successor))
+    problem = create_problem(failure, request_id)
+    await send_whole(send, int(failure.status), header_items, encode(problem))
+
+
+async def send_json(
+    send: Any, document: Any, status: int = HTTPStatus.OK
+) -> None:
+    """Send a JSON document."""
+    await send_whole(
+        send,
+        int(status),
+        [('content-type', 'application/json')],
+        encode(document),
+    )
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around the daemon."""
