Add the local fleet, the settings page and samples

Cause: nothing could be tried without writing settings, and the settings were described nowhere.

Change: `bergamotshunt local` runs the platform stand-in, two services and their daemons in one process and judges mixed calls; `bergamotshunt settings` prints the page of all settings, and a test holds docs/settings.md to it; samples for both deployments are checked by a test; bad usage ends with exit code 2.

Ruled out: a hand-written page of settings, which drifts from the code.

`local` waits for the submission of targets by message, which is being built, and was not run.

Conclusion: the frame stands; the local fleet starts once targets can be submitted.

--- a/bergamotshunt/cli.py
+++ b/bergamotshunt/cli.py
@@ -2,14 +2,16 @@
 
 from pathlib import Path
 from sys import exit as exit_process
-from sys import stderr
+from sys import stderr, stdout
 from typing import Final
 
-from cyclopts import App
+from cyclopts import App, CycloptsError
 from returns.result import Failure, Success
 
 from bergamotshunt.daemon import run_daemon
+from bergamotshunt.local_command import run_local
 from bergamotshunt.settings import Settings, read_settings
+from bergamotshunt.settings_page import create_settings_page
 
 EXIT_BAD_INPUT: Final = 2
 
@@ -51,6 +53,27 @@
     return 0
 
 
+@app.command
+def local(*, calls: int = 0, seed: int = 1) -> int:
+    """Run a whole fleet in this process, to try the system.
+
+    Args:
+        calls: Make this many mixed calls and end; 0 serves until Ctrl-C.
+        seed: Seed of all random sources.
+    """
+    return run_local(calls, seed)
+
+
+@app.command
+def settings() -> None:
+    """Print the page of all settings as Markdown."""
+    stdout.write(create_settings_page())
+
+
 def main() -> None:
     """Run the command line."""
-    exit_process(app() or 0)
+    try:
+        exit_code = app(exit_on_error=False)
+    except CycloptsError:
+        exit_process(EXIT_BAD_INPUT)
+    exit_process(exit_code or 0)
--- /dev/null
+++ b/bergamotshunt/local.py
@@ -0,0 +1,204 @@
+"""A whole fleet in one process, to try the system without any set-up.
+
+Runs the platform stand-in and two services shaped like a small
+deployment: ``jar-ledger`` with 6 backend servers and ``catalog`` with 3,
+in 3 availability zones, each server with its daemon.
+"""
+
+from asyncio import gather
+from typing import Final, NamedTuple, Self
+
+from returns.pipeline import is_successful
+
+from bergamotshunt.daemon import create_kernel
+from bergamotshunt.kernel import Kernel
+from bergamotshunt.listening import Listener
+from bergamotshunt.members import is_routable
+from bergamotshunt.messages import (
+    MembersChanged,
+    SubmitChange,
+    TargetsChanged,
+)
+from bergamotshunt.settings import (
+    BackendServerSettings,
+    DaemonSettings,
+    PlatformSettings,
+    Settings,
+)
+from bergamotshunt.targets import ServiceTargets, Target
+from bergamotshunt.web import HttpServer
+from standins.backend import BackendStandIn
+from standins.platform import PlatformStandIn
+
+IP: Final = '127.0.0.1'
+ZONES: Final = ('lima-a', 'lima-b', 'lima-c')
+READY_TIMEOUT_S: Final = 30
+DRAIN_TIMEOUT_S: Final = 10
+SERVERS_BY_SERVICE: Final = (('jar-ledger', 6), ('catalog', 3))
+OPERATOR: Final = 'local'
+OPERATOR_TOKEN: Final = 'local-operator-token'
+
+TARGETS: Final = (
+    ServiceTargets(
+        'jar-ledger',
+        (
+            Target(
+                'balance',
+                ('GET', 'HEAD'),
+                '/balances',
+                idempotent=True,
+                answered_within_ms=200,
+            ),
+            Target(
+                'refund',
+                ('POST',),
+                '/refunds',
+                answered_within_ms=2000,
+                weight=3,
+            ),
+        ),
+    ),
+    ServiceTargets(
+        'catalog',
+        (
+            Target(
+                'pack',
+                ('GET',),
+                '/packs',
+                idempotent=True,
+                answered_within_ms=5000,
+            ),
+            Target(
+                'spec',
+                ('GET',),
+                '/specs',
+                idempotent=True,
+                answered_within_ms=100,
+                internal=True,
+            ),
+        ),
+    ),
+)
+
+
+class LocalServer(NamedTuple):
+    """A backend server stand-in with its daemon."""
+
+    backend: BackendStandIn
+    http: HttpServer
+    kernel: Kernel
+    members: Listener
+    targets: Listener
+
+
+class LocalFleet:
+    """The platform stand-in, the backend servers and their daemons."""
+
+    def __init__(self, seed: int) -> None:
+        """Create the fleet without starting it.
+
+        Args:
+            seed: Seed of all random sources.
+        """
+        self.seed = seed
+        self.platform = PlatformStandIn()
+        self.platform_http = HttpServer(self.platform.app, IP, 0)
+        self.servers: list[LocalServer] = []
+
+    async def __aenter__(self) -> Self:
+        """Start everything and wait until all daemons may serve."""
+        await self.platform_http.open()
+        for service, count in SERVERS_BY_SERVICE:
+            for number in range(count):
+                await self.add_server(service, number)
+        await self.put_targets()
+        for server in self.servers:
+            await server.members.wait_for(self.knows_all, READY_TIMEOUT_S)
+            await server.targets.wait_for(has_all_targets, READY_TIMEOUT_S)
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        """Drain and stop the daemons, then the stand-ins."""
+        await gather(*(stop_daemon(server.kernel) for server in self.servers))
+        for server in self.servers:
+            await server.http.close()
+        await self.platform_http.close()
+
+    async def add_server(self, service: str, number: int) -> None:
+        """Start one backend server and its daemon."""
+        backend = BackendStandIn(f'{service}-{number + 1}')
+        http = HttpServer(backend, IP, 0)
+        await http.open()
+        settings = self.create_settings(service, number, http.port)
+        kernel = create_kernel(settings, self.seed + len(self.servers))
+        post = kernel.context.post
+        server = LocalServer(
+            backend,
+            http,
+            kernel,
+            Listener(post, MembersChanged),
+            Listener(post, TargetsChanged),
+        )
+        await kernel.start()
+        self.servers.append(server)
+
+    async def put_targets(self) -> None:
+        """State the targets as an operator would.
+
+        Raises:
+            RuntimeError: The daemon did not accept them.
+        """
+        kernel = self.servers[0].kernel
+        post = kernel.context.post
+        for targets in TARGETS:
+            outcome = await post.ask(
+                SubmitChange(
+                    service=targets.service,
+                    after=targets,
+                    expected_revision=0,
+                    operator=OPERATOR,
+                    reason='first targets',
+                    submission_id=f'local-{targets.service}',
+                ),
+            )
+            if not is_successful(outcome):
+                raise RuntimeError(f'targets were not accepted: {outcome}')
+
+    def knows_all(self, message: MembersChanged) -> bool:
+        """Tell whether all backend servers take requests."""
+        members = message.members_by_id.values()
+        return sum(map(is_routable, members)) == len(self.servers)
+
+    def create_settings(self, service: str, number: int, port: int) -> Settings:
+        """Create the settings of one daemon."""
+        peers: tuple[str, ...] = ()
+        if self.servers:
+            ports = self.servers[0].kernel.ports_by_kind
+            peers = (f'{IP}:{ports["peers"]}',)
+        return Settings(
+            daemon=DaemonSettings(
+                id=f'{service}-{number + 1}',
+                ip=IP,
+                region='lima',
+                availability_zone=ZONES[number % len(ZONES)],
+                known_peers=peers,
+            ),
+            backend_server=BackendServerSettings(
+                service, f'http://{IP}:{port}'
+            ),
+            platform=PlatformSettings(
+                (f'http://{IP}:{self.platform_http.port}',)
+            ),
+            operators={OPERATOR: OPERATOR_TOKEN},
+        )
+
+
+def has_all_targets(message: TargetsChanged) -> bool:
+    """Tell whether the targets of all services are in force."""
+    return len(message.target_set.by_service) == len(TARGETS)
+
+
+async def stop_daemon(kernel: Kernel) -> None:
+    """Drain and stop one daemon."""
+    await kernel.drain(DRAIN_TIMEOUT_S)
+    await kernel.stop()
--- /dev/null
+++ b/bergamotshunt/local_calls.py
@@ -0,0 +1,208 @@
+"""Mixed calls to a local fleet, with a judgement on every answer."""
+
+from asyncio import Semaphore, gather
+from collections import Counter
+from collections.abc import Callable
+from hashlib import sha256
+from random import Random
+from time import monotonic
+from typing import Final, NamedTuple
+from uuid import uuid4
+
+from returns.result import Failure, Result, Success
+from uuid6 import uuid7
+
+from bergamotshunt.headers import BOOKING_KEY, REQUEST_ID, VERDICT
+from bergamotshunt.local import IP, LocalFleet
+from bergamotshunt.transport import HttpAnswer, HttpRequest, Sender
+from bergamotshunt.verdicts import CallFailure, Verdict
+
+TIMEOUT_MS: Final = 10_000
+CONCURRENCY: Final = 8
+CONNECTIONS: Final = 64
+MS_PER_S: Final = 1000
+REPEAT_SHARE: Final = 0.2
+STATUS_OK: Final = 200
+DIGEST_HEADER: Final = 'x-body-sha256'
+
+
+class CallKind(NamedTuple):
+    """A kind of call and its share among all calls."""
+
+    name: str
+    method: str
+    path: str
+    share: float
+
+
+KINDS: Final = (
+    CallKind('balance', 'GET', '/jar-ledger/balances/{number}', 0.6),
+    CallKind('refund', 'POST', '/jar-ledger/refunds', 0.25),
+    CallKind('spec', 'GET', '/catalog/specs/{number}', 0.1),
+    CallKind('pack', 'GET', '/catalog/packs/{number}', 0.05),
+)
+
+
+class CallPlan(NamedTuple):
+    """One call to make; a repeat carries the key of an earlier booking."""
+
+    kind: str
+    method: str
+    path: str
+    request_id: str
+    booking_key: str
+    entry: int
+
+
+class CallOutcome(NamedTuple):
+    """What came of one call.
+
+    Attributes:
+        kind: Class of work.
+        verdict: Verdict on the answer or the failure.
+        status: HTTP status; 0 without an answer.
+        latency_ms: Time to the whole answer.
+        faults: What was wrong with the answer, in words.
+    """
+
+    kind: str
+    verdict: str
+    status: int
+    latency_ms: float
+    faults: tuple[str, ...]
+
+
+def plan_calls(count: int, entries: int, rng: Random) -> list[CallPlan]:
+    """Plan mixed calls; some bookings are repeated at another daemon.
+
+    Args:
+        count: Number of calls.
+        entries: Number of daemons that take calls.
+        rng: Random source.
+    """
+    plans: list[CallPlan] = []
+    keys: list[str] = []
+    weights = [kind.share for kind in KINDS]
+    for number in range(count):
+        kind = rng.choices(KINDS, weights)[0]
+        key = ''
+        if kind.method == 'POST':
+            is_repeat = bool(keys) and rng.random() < REPEAT_SHARE
+            key = rng.choice(keys) if is_repeat else str(uuid7())
+            keys.append(key)
+        plans.append(
+            CallPlan(
+                kind.name,
+                kind.method,
+                kind.path.format(number=number),
+                uuid4().hex,
+                key,
+                rng.randrange(entries),
+            ),
+        )
+    return plans
+
+
+async def make_call(
+    sender: Sender,
+    ports: tuple[int, ...],
+    plan: CallPlan,
+) -> CallOutcome:
+    """Make one call and judge its answer."""
+    headers = {REQUEST_ID: plan.request_id}
+    if plan.booking_key:
+        headers[BOOKING_KEY] = plan.booking_key
+    started = monotonic()
+    outcome = await sender.send(
+        HttpRequest(
+            plan.method,
+            f'http://{IP}:{ports[plan.entry]}{plan.path}',
+            headers,
+            plan.request_id.encode(),
+            TIMEOUT_MS,
+        ),
+    )
+    latency_ms = (monotonic() - started) * MS_PER_S
+    return judge(plan, outcome, latency_ms)
+
+
+def judge(
+    plan: CallPlan,
+    outcome: Result[HttpAnswer, CallFailure],
+    latency_ms: float,
+) -> CallOutcome:
+    """Check that an answer is whole and belongs to its call."""
+    match outcome:
+        case Success(answer):
+            return CallOutcome(
+                plan.kind,
+                answer.headers.get(VERDICT, ''),
+                answer.status,
+                latency_ms,
+                find_faults(plan, answer),
+            )
+        case Failure(failure):
+            faults = (f'no answer: {failure.detail}',)
+            return CallOutcome(
+                plan.kind, failure.verdict, 0, latency_ms, faults
+            )
+    raise AssertionError(outcome)
+
+
+def find_faults(plan: CallPlan, answer: HttpAnswer) -> tuple[str, ...]:
+    """List what is wrong with an answer."""
+    faults = []
+    if answer.headers.get(REQUEST_ID) != plan.request_id:
+        faults.append("another call's answer")
+    if answer.status != STATUS_OK:
+        faults.append(f'status {answer.status}: {answer.body[:200]!r}')
+    elif answer.headers.get(VERDICT) != Verdict.RAN:
+        faults.append('no verdict')
+    digest = answer.headers.get(DIGEST_HEADER)
+    if digest and digest != sha256(answer.body).hexdigest():
+        faults.append('a fragment of an answer')
+    return tuple(faults)
+
+
+async def run_calls(
+    fleet: LocalFleet,
+    count: int,
+    report_progress: Callable[[], None],
+) -> list[CallOutcome]:
+    """Make ``count`` mixed calls, several at a time."""
+    rng = Random(fleet.seed)
+    ports = tuple(
+        server.kernel.ports_by_kind['callers'] for server in fleet.servers
+    )
+    sender = Sender(CONNECTIONS)
+    slots = Semaphore(CONCURRENCY)
+    outcomes = await gather(
+        *(
+            make_call_in_slot(slots, sender, ports, plan, report_progress)
+            for plan in plan_calls(count, len(ports), rng)
+        ),
+    )
+    await sender.close()
+    return outcomes
+
+
+async def make_call_in_slot(
+    slots: Semaphore,
+    sender: Sender,
+    ports: tuple[int, ...],
+    plan: CallPlan,
+    report_progress: Callable[[], None],
+) -> CallOutcome:
+    """Make one call as soon as fewer than ``CONCURRENCY`` run."""
+    async with slots:
+        outcome = await make_call(sender, ports, plan)
+    report_progress()
+    return outcome
+
+
+def count_double_bookings(fleet: LocalFleet) -> int:
+    """Count the booking keys that ran more than once in the fleet."""
+    runs_by_key = Counter[str]()
+    for server in fleet.servers:
+        runs_by_key.update(server.backend.executions_by_key)
+    return sum(runs > 1 for runs in runs_by_key.values())
--- a/bergamotshunt/setting_rules.py
+++ b/bergamotshunt/setting_rules.py
@@ -24,6 +24,8 @@
 
     def __str__(self) -> str:
         """Return one line for the operator."""
+        if not self.section:
+            return f'{self.text}: wanted is {self.allowed}'
         place = f'[{self.section}] {self.key}'.strip()
         return f'{place} = {self.text!r}: allowed is {self.allowed}'
 
