Complete the platform stand-in: leases, watches, limits and faults

Cause: the client of the platform, the keeper and the claims need leases, watches, rate limits and faults, and the stand-in only had ranges and transactions that compare MOD. Ruled out: an aiohttp server for the stand-in. The HTTP server of the daemon serves it as well; to close a connection without an answer, the stand-in aborts the transport of the uvicorn cycle that owns the ASGI send call. Change: standins/platform_data.py holds keys, transactions (MOD, CREATE, VERSION, VALUE, LEASE), leases and events without input or output; standins/platform.py serves range, txn, lease grant, keepalive and revoke, and watch, counts calls by kind, answers 429 beyond 400 writes and 2,000 reads a second and 400 for values above 1 MB, and takes faults (down closed or refused, delay, answers lost after the write, stale reads, expired leases) from an object or from POST /control. Conclusion: tests and measurements can meet the platform by its protocol and switch its faults on and off while daemons run.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,110 +1,442 @@
 """Stand-in for the platform's key-value service (etcd v3 JSON gateway).
 
 Serves the parts of the published protocol that the daemon uses, counts
-each call, and injects faults on demand.
+each call, limits their rates and injects faults on demand. Runs inside a
+test or as a process: ``python -m standins.platform --port N``.
+
+Faults are set on ``PlatformStandIn.faults`` or by ``POST /control`` with a
+JSON object of the fields of ``Faults`` (and ``expire_leases``,
+``reset_counts``, ``reset_connections``); ``GET /control`` shows the faults
+and the counts.
 """
 
-from base64 import b64decode, b64encode
+from argparse import ArgumentParser
+from asyncio import Event as AsyncioEvent
+from asyncio import Queue, run, sleep
 from collections import Counter
-from typing import Any, NamedTuple
+from collections.abc import AsyncIterator, Callable
+from time import monotonic
+from typing import Any, Final, NamedTuple
 
+from msgspec.json import decode, encode
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import JSONResponse
+from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
+from bergamotshunt.web import HttpServer
+from standins.platform_data import (
+    Event,
+    KeyValueData,
+    RefusedError,
+    Stored,
+    decode_key,
+    describe_event,
+)
+
+__all__ = ('Faults', 'PlatformServer', 'PlatformStandIn', 'Stored')
+
+CONTROL_PATH: Final = '/control'
+TOO_MANY: Final = 429
+MAX_BODY_BYTES: Final = 4_000_000
+
+
+class Faults(NamedTuple):
+    """Faults in force.
+
+    Attributes:
+        down: ``closed`` (each connection is closed without an answer),
+            ``refused`` (the port is closed; needs a ``PlatformServer``),
+            or empty.
+        delay_ms: Time before each call is handled.
+        lose_answers: Number of next writes that take effect and whose
+            answer is lost.
+        stale: Reads answer from the data as of when this was set.
+    """
+
+    down: str = ''
+    delay_ms: float = 0
+    lose_answers: int = 0
+    stale: bool = False
 
-class Stored(NamedTuple):
-    """One value with its revisions."""
 
-    content: bytes
-    create_revision: int
-    mod_revision: int
+class Limits(NamedTuple):
+    """Calls in a second that the service accepts."""
 
+    writes_per_s: int = 400
+    reads_per_s: int = 2000
 
-def decode(text: str) -> str:
-    """Decode a key of the protocol."""
-    return b64decode(text).decode()
+
+class Window:
+    """Counts calls in windows of one second."""
+
+    def __init__(self, per_s: int, clock: Callable[[], float]) -> None:
+        """Create an empty window."""
+        self.per_s = per_s
+        self.clock = clock
+        self.second = 0
+        self.used = 0
+
+    def admit(self) -> bool:
+        """Count a call; tell whether it is within the limit."""
+        second = int(self.clock())
+        if second != self.second:
+            self.second = second
+            self.used = 0
+        self.used += 1
+        return self.used <= self.per_s
 
 
 class PlatformStandIn:
-    """Key-value service in memory."""
+    """Key-value service in memory.
+
+    Args:
+        limits: Rates beyond which calls get status 429.
+        clock: Monotonic time in seconds.
 
-    def __init__(self) -> None:
+    Attributes:
+        app: ASGI application, for an ``HttpServer``.
+        calls: Number of calls by kind; ``limited`` are those refused by
+            rate, ``dropped`` those closed while the service was down.
+    """
+
+    def __init__(
+        self,
+        limits: Limits = Limits(),
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
         """Create an empty service."""
-        self.revision = 1
-        self.by_key: dict[str, Stored] = {}
+        self.data = KeyValueData(clock)
+        self.faults = Faults()
         self.calls = Counter[str]()
-        self.app = Starlette(
+        self.watching = 0
+        self.faults_changed = AsyncioEvent()
+        self.writes = Window(limits.writes_per_s, clock)
+        self.reads = Window(limits.reads_per_s, clock)
+        self.app = self.serve
+        self._stale_data: KeyValueData | None = None
+        self._transports: set[Any] = set()
+        self._routes = Starlette(
             routes=[
-                Route('/v3/kv/range', self.handle_range, methods=['POST']),
-                Route('/v3/kv/txn', self.handle_txn, methods=['POST']),
+                self._route('/v3/kv/range', 'range', self.reads, self._range),
+                self._route('/v3/kv/txn', 'txn', self.writes, self._txn),
+                self._route(
+                    '/v3/lease/grant', 'lease-grant', self.writes, self._grant
+                ),
+                self._route(
+                    '/v3/lease/keepalive',
+                    'lease-keepalive',
+                    self.writes,
+                    self._keep_alive,
+                ),
+                self._route(
+                    '/v3/lease/revoke',
+                    'lease-revoke',
+                    self.writes,
+                    self._revoke,
+                ),
+                self._route('/v3/watch', 'watch', self.reads, self._watch),
+                Route(CONTROL_PATH, self.control, methods=['GET', 'POST']),
             ]
         )
 
-    async def handle_range(self, request: Request) -> JSONResponse:
-        """Answer a range request."""
-        self.calls['range'] += 1
-        body = await request.json()
-        return JSONResponse(self.read_range(body))
-
-    async def handle_txn(self, request: Request) -> JSONResponse:
-        """Answer a transaction."""
-        self.calls['txn'] += 1
-        body = await request.json()
-        succeeded = all(map(self.compare, body.get('compare', ())))
-        branch = 'success' if succeeded else 'failure'
-        if succeeded:
-            self.revision += 1
-        for operation in body.get(branch, ()):
-            self.apply(operation)
-        return JSONResponse(
+    @property
+    def by_key(self) -> dict[str, Stored]:
+        """Return the values by key, to look at or to prepare."""
+        return self.data.by_key
+
+    def set_faults(self, **fields: Any) -> None:
+        """Change some of the faults; a service that goes down drops all."""
+        stale_before = self.faults.stale
+        self.faults = self.faults._replace(**fields)
+        if self.faults.stale and not stale_before:
+            self._stale_data = self.data.copy()
+        if not self.faults.stale:
+            self._stale_data = None
+        if self.faults.down:
+            self.reset_connections()
+        self.faults_changed.set()
+
+    def reset_connections(self) -> None:
+        """Close all connections with a call or a watch in progress."""
+        for transport in tuple(self._transports):
+            transport.abort()
+
+    def expire_leases(self) -> None:
+        """End all leases now, as if their holders had been paused."""
+        self.data.expire(everything=True)
+
+    async def serve(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one call (ASGI)."""
+        if scope['path'] == CONTROL_PATH:
+            await self._routes(scope, receive, send)
+            return
+        # The cycle of uvicorn owns ``send``; only it knows the transport.
+        transport = send.__self__.transport
+        if self.faults.down:
+            self.calls['dropped'] += 1
+            await drop(transport, receive)
+            return
+        self._transports.add(transport)
+        try:
+            await self._serve_call(scope, receive, send, transport)
+        finally:
+            self._transports.discard(transport)
+
+    async def _serve_call(
+        self, scope: Any, receive: Any, send: Any, transport: Any
+    ) -> None:
+        if self.faults.delay_ms:
+            await sleep(self.faults.delay_ms / 1000)
+        lost = False
+
+        async def send_or_lose(message: Any) -> None:
+            nonlocal lost
+            starts = message['type'] == 'http.response.start'
+            if starts and scope.get('wrote') and self.faults.lose_answers:
+                left = self.faults.lose_answers - 1
+                self.faults = self.faults._replace(lose_answers=left)
+                self.calls['lost'] += 1
+                lost = True
+                transport.abort()
+            if not lost:
+                await send(message)
+
+        await self._routes(scope, receive, send_or_lose)
+        if lost:
+            await drop(transport, receive)
+
+    def _route(
+        self, path: str, kind: str, window: Window, answer: Any
+    ) -> Route:
+        async def handle(request: Request) -> Response:
+            self.calls[kind] += 1
+            if not window.admit():
+                self.calls['limited'] += 1
+                return refuse(RefusedError(TOO_MANY, 8, 'too many requests'))
+            content = await request.body()
+            if len(content) > MAX_BODY_BYTES:
+                detail = 'etcdserver: request is too large'
+                return refuse(RefusedError(400, 3, detail))
+            self.data.expire()
+            try:
+                return answer(decode(content), request.scope)
+            except RefusedError as error:
+                return refuse(error)
+            except (ValueError, KeyError, TypeError) as error:
+                return refuse(RefusedError(400, 3, repr(error)))
+
+        return Route(path, handle, methods=['POST'])
+
+    def _range(self, body: Any, _scope: Any) -> Response:
+        return answer_json((self._stale_data or self.data).read(body))
+
+    def _txn(self, body: Any, scope: Any) -> Response:
+        answer = self.data.run(body)
+        scope['wrote'] = 'succeeded' in answer
+        return answer_json(answer)
+
+    def _grant(self, body: Any, scope: Any) -> Response:
+        ttl_s = int(body.get('TTL', 0))
+        lease_id = self.data.grant(ttl_s)
+        scope['wrote'] = True
+        return answer_json(
             {
-                'header': {'revision': str(self.revision)},
-                'succeeded': succeeded,
+                'header': self.data.header(),
+                'ID': str(lease_id),
+                'TTL': str(ttl_s),
             }
         )
 
-    def read_range(self, body: dict[str, Any]) -> dict[str, Any]:
-        """Return the entries of a range, sorted by key."""
-        first = decode(body['key'])
-        end = decode(body['range_end']) if 'range_end' in body else first + '\0'
-        keys = sorted(key for key in self.by_key if first <= key < end)
-        limit = int(body.get('limit', 0)) or len(keys)
-        return {
-            'header': {'revision': str(self.revision)},
-            'kvs': [self.describe(key) for key in keys[:limit]],
-            'count': str(len(keys)),
-            'more': len(keys) > limit,
+    def _keep_alive(self, body: Any, _scope: Any) -> Response:
+        lease_id = int(body['ID'])
+        renewed = {
+            'header': self.data.header(),
+            'ID': str(lease_id),
+            'TTL': str(self.data.keep_alive(lease_id)),
         }
+        return answer_json({'result': renewed})
 
-    def describe(self, key: str) -> dict[str, str]:
-        """Return one entry in the form of the protocol."""
-        stored = self.by_key[key]
-        return {
-            'key': b64encode(key.encode()).decode(),
-            'value': b64encode(stored.content).decode(),
-            'create_revision': str(stored.create_revision),
-            'mod_revision': str(stored.mod_revision),
-        }
+    def _revoke(self, body: Any, scope: Any) -> Response:
+        self.data.revoke(int(body['ID']))
+        scope['wrote'] = True
+        return answer_json({'header': self.data.header()})
 
-    def compare(self, condition: dict[str, Any]) -> bool:
-        """Check one condition on a mod_revision."""
-        stored = self.by_key.get(decode(condition['key']))
-        actual = stored.mod_revision if stored else 0
-        return actual == int(condition.get('mod_revision', 0))
-
-    def apply(self, operation: dict[str, Any]) -> None:
-        """Run one operation of a transaction."""
-        if 'request_put' in operation:
-            put = operation['request_put']
-            key = decode(put['key'])
-            before = self.by_key.get(key)
-            created = before.create_revision if before else self.revision
-            self.by_key[key] = Stored(
-                b64decode(put['value']), created, self.revision
-            )
-        elif 'request_delete_range' in operation:
-            self.by_key.pop(
-                decode(operation['request_delete_range']['key']), None
+    def _watch(self, body: Any, _scope: Any) -> Response:
+        request = body['create_request']
+        return StreamingResponse(
+            self._stream(request), media_type='application/json'
+        )
+
+    async def _stream(self, request: dict[str, Any]) -> AsyncIterator[bytes]:
+        first = decode_key(request['key'])
+        end = decode_key(request.get('range_end', '')) or f'{first}\0'
+        start = int(request.get('start_revision', 0))
+        data = self._stale_data or self.data
+        queue: Queue[Event] = Queue()
+        data.listeners.add(queue.put_nowait)
+        self.watching += 1
+        try:
+            yield encode_line(
+                {'header': data.header(), 'watch_id': '0', 'created': True}
             )
+            kept = tuple(data.events)
+            oldest = kept[0].revision if kept else 0
+            if 0 < start < oldest and len(kept) == data.events.maxlen:
+                yield encode_line(
+                    {'canceled': True, 'compact_revision': str(oldest)}
+                )
+                return
+            past = [event for event in kept if 0 < start <= event.revision]
+            while not queue.empty():
+                queue.get_nowait()
+            while True:
+                for event in past:
+                    if first <= event.key < end:
+                        yield encode_line(
+                            {
+                                'header': data.header(),
+                                'watch_id': '0',
+                                'events': [describe_event(event)],
+                            }
+                        )
+                past = [await queue.get()]
+        finally:
+            self.watching -= 1
+            data.listeners.discard(queue.put_nowait)
+
+    async def control(self, request: Request) -> Response:
+        """Show or set the faults."""
+        if request.method == 'POST':
+            wanted = decode(await request.body())
+            if wanted.pop('expire_leases', False):
+                self.expire_leases()
+            if wanted.pop('reset_connections', False):
+                self.reset_connections()
+            if wanted.pop('reset_counts', False):
+                self.calls.clear()
+            if not set(wanted) <= set(Faults._fields):
+                return refuse(RefusedError(400, 3, 'unknown fault'))
+            self.set_faults(**wanted)
+        return answer_json(
+            {
+                'faults': self.faults._asdict(),
+                'calls': dict(self.calls),
+                'watching': self.watching,
+                'revision': self.data.revision,
+                'keys': len(self.by_key),
+            }
+        )
+
+
+async def drop(transport: Any, receive: Any) -> None:
+    """Close a connection without an answer."""
+    transport.abort()
+    while (await receive())['type'] != 'http.disconnect':
+        pass
+
+
+def answer_json(document: Any) -> Response:
+    """Answer with a JSON document."""
+    return Response(encode(document), media_type='application/json')
+
+
+def encode_line(document: Any) -> bytes:
+    """Encode one message of a stream."""
+    return encode({'result': document}) + b'\n'
+
+
+def refuse(error: RefusedError) -> Response:
+    """Answer with an error of the protocol."""
+    document = {'error': str(error), 'code': error.code, 'message': str(error)}
+    return Response(
+        encode(document), error.status, media_type='application/json'
+    )
+
+
+class PlatformServer:
+    """The stand-in on a port, with a second port for the control path.
+
+    Args:
+        stand_in: The service.
+        ip: IP number to bind.
+        port: Port of the service; 0 asks the operating system for one.
+        control_port: Port that stays open while the service refuses.
+    """
+
+    def __init__(
+        self,
+        stand_in: PlatformStandIn,
+        ip: str = '127.0.0.1',
+        port: int = 0,
+        control_port: int = 0,
+    ) -> None:
+        """Bind both ports."""
+        self.stand_in = stand_in
+        self.ip = ip
+        self._service: HttpServer | None = HttpServer(stand_in.app, ip, port)
+        self._control = HttpServer(stand_in.app, ip, control_port)
+        self.port = self._service.port
+        self.control_port = self._control.port
+
+    @property
+    def url(self) -> str:
+        """Return the URL for the settings of a daemon."""
+        return f'http://{self.ip}:{self.port}'
+
+    async def open(self) -> None:
+        """Listen on both ports."""
+        await self._control.open()
+        if self._service is not None:
+            await self._service.open()
+
+    async def close(self) -> None:
+        """Close both ports and all connections."""
+        self.stand_in.reset_connections()
+        await self._control.close()
+        if self._service is not None:
+            await self._service.close()
+
+    async def follow_faults(self) -> None:
+        """Close and open the port as the fault ``refused`` comes and goes."""
+        while True:
+            await self.stand_in.faults_changed.wait()
+            self.stand_in.faults_changed.clear()
+            await self.apply_faults()
+
+    async def apply_faults(self) -> None:
+        """Close or open the port according to the faults."""
+        refusing = self.stand_in.faults.down == 'refused'
+        if refusing and self._service is not None:
+            service, self._service = self._service, None
+            self.stand_in.reset_connections()
+            await service.close()
+        elif not refusing and self._service is None:
+            self._service = HttpServer(self.stand_in.app, self.ip, self.port)
+            await self._service.open()
+
+
+async def run_stand_in(ip: str, port: int, control_port: int) -> None:
+    """Serve until the process is ended; print the ports as JSON."""
+    server = PlatformServer(PlatformStandIn(), ip, port, control_port)
+    await server.open()
+    ports = {'port': server.port, 'control_port': server.control_port}
+    print(encode(ports).decode(), flush=True)
+    await server.follow_faults()
+
+
+def main() -> None:
+    """Run the stand-in as a process."""
+    parser = ArgumentParser(prog='python -m standins.platform')
+    parser.add_argument('--ip', default='127.0.0.1')
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--control-port', type=int, default=0)
+    options = parser.parse_args()
+    try:
+        run(run_stand_in(options.ip, options.port, options.control_port))
+    except KeyboardInterrupt:
+        return
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/platform_data.py
@@ -0,0 +1,291 @@
+"""Data of the platform stand-in: keys, transactions, leases and events.
+
+Implements the parts of the published etcd v3 protocol that the daemon uses,
+in memory and without any input or output.
+"""
+
+from base64 import b64decode, b64encode
+from collections import deque
+from collections.abc import Callable
+from itertools import count
+from time import monotonic
+from typing import Any, Final, NamedTuple
+
+MAX_VALUE_BYTES: Final = 1_000_000
+# Watches that start before the oldest kept event are told to read again.
+EVENTS_KEPT: Final = 10_000
+
+
+class RefusedError(ValueError):
+    """A call that the protocol refuses.
+
+    Args:
+        status: HTTP status of the answer.
+        code: gRPC code of the answer.
+        detail: What is wrong.
+    """
+
+    def __init__(self, status: int, code: int, detail: str) -> None:
+        """Keep the parts of the answer."""
+        super().__init__(detail)
+        self.status = status
+        self.code = code
+
+
+class Stored(NamedTuple):
+    """One value with its revisions and its lease (0 for none)."""
+
+    content: bytes
+    create_revision: int
+    mod_revision: int
+    version: int = 1
+    lease: int = 0
+
+
+class Event(NamedTuple):
+    """One write; ``stored`` is None for a deletion."""
+
+    revision: int
+    key: str
+    stored: Stored | None
+
+
+class Lease(NamedTuple):
+    """A granted lease."""
+
+    ttl_s: int
+    expires_s: float
+
+
+def decode_key(text: str) -> str:
+    """Decode a key of the protocol."""
+    return b64decode(text).decode()
+
+
+def encode_text(content: bytes) -> str:
+    """Encode a key or a value for the protocol."""
+    return b64encode(content).decode()
+
+
+def describe_entry(key: str, stored: Stored) -> dict[str, str]:
+    """Return one entry in the form of the protocol."""
+    entry = {
+        'key': encode_text(key.encode()),
+        'value': encode_text(stored.content),
+        'create_revision': str(stored.create_revision),
+        'mod_revision': str(stored.mod_revision),
+        'version': str(stored.version),
+    }
+    if stored.lease:
+        entry['lease'] = str(stored.lease)
+    return entry
+
+
+def describe_event(event: Event) -> dict[str, Any]:
+    """Return one event in the form of the protocol."""
+    if event.stored is None:
+        return {
+            'type': 'DELETE',
+            'kv': {
+                'key': encode_text(event.key.encode()),
+                'mod_revision': str(event.revision),
+            },
+        }
+    return {'kv': describe_entry(event.key, event.stored)}
+
+
+class KeyValueData:
+    """All keys of the service.
+
+    Args:
+        clock: Monotonic time in seconds, for the leases.
+    """
+
+    def __init__(self, clock: Callable[[], float] = monotonic) -> None:
+        """Create an empty service."""
+        self.clock = clock
+        self.revision = 1
+        self.by_key: dict[str, Stored] = {}
+        self.leases_by_id: dict[int, Lease] = {}
+        self.events: deque[Event] = deque(maxlen=EVENTS_KEPT)
+        self.listeners: set[Callable[[Event], None]] = set()
+        self._lease_ids = count(7001)
+
+    def copy(self) -> 'KeyValueData':
+        """Return the data as of now, for stale reads."""
+        other = KeyValueData(self.clock)
+        other.revision = self.revision
+        other.by_key = dict(self.by_key)
+        return other
+
+    def header(self) -> dict[str, str]:
+        """Return the header of every answer."""
+        return {'revision': str(self.revision)}
+
+    def read(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Answer a range request."""
+        keys = sorted(self.select(body))
+        limit = int(body.get('limit', 0)) or len(keys)
+        entries = [
+            describe_entry(key, self.by_key[key]) for key in keys[:limit]
+        ]
+        answer: dict[str, Any] = {
+            'header': self.header(),
+            'count': str(len(keys)),
+        }
+        if entries:
+            answer['kvs'] = entries
+        if len(keys) > limit:
+            answer['more'] = True
+        return answer
+
+    def select(self, body: dict[str, Any]) -> list[str]:
+        """Return the keys of a range."""
+        first = decode_key(body['key'])
+        if not body.get('range_end'):
+            return [first] if first in self.by_key else []
+        end = decode_key(body['range_end'])
+        if end == '\0':
+            return [key for key in self.by_key if key >= first]
+        return [key for key in self.by_key if first <= key < end]
+
+    def run(self, body: dict[str, Any]) -> dict[str, Any]:
+        """Answer a transaction; all its writes get the same revision."""
+        holds = all(map(self.compare, body.get('compare', ())))
+        operations = body.get('success' if holds else 'failure', ())
+        self.check(operations)
+        if any('request_range' not in operation for operation in operations):
+            self.revision += 1
+        responses = [self.apply(operation) for operation in operations]
+        answer: dict[str, Any] = {
+            'header': self.header(),
+            'responses': responses,
+        }
+        if holds:
+            answer['succeeded'] = True
+        return answer
+
+    def check(self, operations: Any) -> None:
+        """Refuse values that are too large and leases that are unknown."""
+        keys = []
+        for operation in operations:
+            put = operation.get('request_put')
+            if put is None:
+                continue
+            keys.append(put['key'])
+            if len(b64decode(put.get('value', ''))) > MAX_VALUE_BYTES:
+                raise RefusedError(400, 3, 'etcdserver: request is too large')
+            lease = int(put.get('lease', 0))
+            if lease and lease not in self.leases_by_id:
+                raise RefusedError(
+                    404, 5, 'etcdserver: requested lease not found'
+                )
+        if len(keys) != len(set(keys)):
+            raise RefusedError(
+                400, 3, 'etcdserver: duplicate key given in txn request'
+            )
+
+    def compare(self, condition: dict[str, Any]) -> bool:
+        """Check one condition of a transaction."""
+        stored = self.by_key.get(decode_key(condition['key']))
+        target = condition.get('target', 'VERSION')
+        actual: Any
+        if target == 'VALUE':
+            if stored is None:
+                return False
+            actual = stored.content
+            wanted: Any = b64decode(condition.get('value', ''))
+        else:
+            field = {
+                'MOD': 'mod_revision',
+                'CREATE': 'create_revision',
+                'VERSION': 'version',
+                'LEASE': 'lease',
+            }[target]
+            actual = getattr(stored, field) if stored else 0
+            wanted = int(condition.get(field, 0))
+        return {
+            'EQUAL': actual == wanted,
+            'NOT_EQUAL': actual != wanted,
+            'GREATER': actual > wanted,
+            'LESS': actual < wanted,
+        }[condition.get('result', 'EQUAL')]
+
+    def apply(self, operation: dict[str, Any]) -> dict[str, Any]:
+        """Run one operation of a transaction."""
+        if 'request_put' in operation:
+            put = operation['request_put']
+            self.put(
+                decode_key(put['key']),
+                b64decode(put.get('value', '')),
+                int(put.get('lease', 0)),
+            )
+            return {'response_put': {'header': self.header()}}
+        if 'request_delete_range' in operation:
+            keys = self.select(operation['request_delete_range'])
+            for key in keys:
+                self.delete(key)
+            return {'response_delete_range': {'deleted': str(len(keys))}}
+        return {'response_range': self.read(operation['request_range'])}
+
+    def put(self, key: str, content: bytes, lease: int = 0) -> None:
+        """Write a key at the current revision."""
+        before = self.by_key.get(key)
+        stored = Stored(
+            content,
+            before.create_revision if before else self.revision,
+            self.revision,
+            before.version + 1 if before else 1,
+            lease,
+        )
+        self.by_key[key] = stored
+        self.note(Event(self.revision, key, stored))
+
+    def delete(self, key: str) -> None:
+        """Remove a key at the current revision."""
+        self.by_key.pop(key)
+        self.note(Event(self.revision, key, None))
+
+    def note(self, event: Event) -> None:
+        """Keep an event and tell the watches."""
+        self.events.append(event)
+        for listener in tuple(self.listeners):
+            listener(event)
+
+    def grant(self, ttl_s: int) -> int:
+        """Grant a lease and return its id."""
+        if ttl_s <= 0:
+            raise RefusedError(400, 3, 'etcdserver: too small lease TTL')
+        lease_id = next(self._lease_ids)
+        self.leases_by_id[lease_id] = Lease(ttl_s, self.clock() + ttl_s)
+        return lease_id
+
+    def keep_alive(self, lease_id: int) -> int:
+        """Renew a lease and return its time to live, 0 when it is gone."""
+        lease = self.leases_by_id.get(lease_id)
+        if lease is None:
+            return 0
+        expires_s = self.clock() + lease.ttl_s
+        self.leases_by_id[lease_id] = Lease(lease.ttl_s, expires_s)
+        return lease.ttl_s
+
+    def revoke(self, lease_id: int) -> None:
+        """End a lease and remove its keys."""
+        if self.leases_by_id.pop(lease_id, None) is None:
+            raise RefusedError(404, 5, 'etcdserver: requested lease not found')
+        keys = [
+            key
+            for key, stored in self.by_key.items()
+            if stored.lease == lease_id
+        ]
+        if keys:
+            self.revision += 1
+        for key in keys:
+            self.delete(key)
+
+    def expire(self, everything: bool = False) -> None:
+        """End the leases that are due, or all of them."""
+        now_s = self.clock()
+        for lease_id, lease in tuple(self.leases_by_id.items()):
+            if everything or lease.expires_s <= now_s:
+                self.revoke(lease_id)
