Add the decisions beside a backend server, and the claims task

Cause: the guard had no limit, no queue, no bookings and no measuring budget; nothing decided who owns a booking key. Ruled out: a limit taken from the settings (the slots of a server change while it runs), a queue with a fixed length only (it says nothing about the deadline), and one owner per key by hashing members (two daemons with different views would both run the key).

--- /dev/null
+++ b/bergamotshunt/claiming.py
@@ -0,0 +1,245 @@
+"""Claims in the platform: which ticket a UUIDv7 booking key belongs to.
+
+A claim is created by create-if-absent. Its creator may bind it to another
+ticket while no other daemon has used it; every other daemon marks it as
+shared by compare-and-swap before using it. Both compare the revision of
+the claim, so exactly one of them takes effect.
+"""
+
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from typing import Any, Final, NamedTuple
+
+from msgspec import DecodeError
+from msgspec.json import decode, encode
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from bergamotshunt.messages import (
+    StoreCommit,
+    StoreEntry,
+    StoreFailure,
+    StoreGet,
+    StorePut,
+    Ticket,
+)
+from bergamotshunt.verdicts import (
+    CallFailure,
+    create_refusal,
+    create_unknown_outcome,
+)
+
+LEASE_TTL_S: Final = 25 * 3600
+MAX_CACHED: Final = 20_000
+# A claim can change under a reader when its creator rebinds it or another
+# daemon shares it; more tries only help against lost answers.
+MAX_TRIES: Final = 4
+
+Ask = Callable[[Any], Awaitable[Any]]
+Ownership = Result[Ticket, CallFailure]
+
+
+class Claim(NamedTuple):
+    """A claim as it is kept in the platform.
+
+    Attributes:
+        ticket: Owner of the key.
+        nonce: Random text of the daemon that created the claim.
+        shared: Whether a daemon other than its creator has used it.
+    """
+
+    ticket: Ticket
+    nonce: str
+    shared: bool = False
+
+
+class CachedClaim(NamedTuple):
+    """A claim that cannot change without this daemon.
+
+    Attributes:
+        claim: The claim.
+        uses: How many calls were given its ticket here.
+    """
+
+    claim: Claim
+    uses: int = 1
+
+
+class ClaimBook:
+    """Claims that one daemon has created or shared.
+
+    Calls for the same key must not overlap.
+
+    Args:
+        ask: Sends a question to the store.
+        create_nonce: Returns a random text.
+        max_cached: Most claims in memory; a claim that left it is read
+            again and treated as the claim of another daemon.
+    """
+
+    def __init__(
+        self,
+        ask: Ask,
+        create_nonce: Callable[[], str],
+        max_cached: int = MAX_CACHED,
+    ) -> None:
+        """Create an empty book."""
+        self.ask = ask
+        self.create_nonce = create_nonce
+        self.max_cached = max_cached
+        self.cached_by_key: OrderedDict[str, CachedClaim] = OrderedDict()
+
+    async def resolve(self, key: str, proposed: Ticket) -> Ownership:
+        """Return the ticket of a key; claim the key when it is new.
+
+        Args:
+            key: Key of the claim in the platform.
+            proposed: Ticket for a new claim.
+        """
+        cached = self.cached_by_key.get(key)
+        if cached is not None:
+            self._cache(key, cached._replace(uses=cached.uses + 1))
+            return Success(cached.claim.ticket)
+        claim = Claim(proposed, self.create_nonce())
+        created = await self._write(key, 0, claim)
+        if created == Success(True):
+            return self._use(key, claim)
+        if not is_successful(created) and not created.failure().may_have_run:
+            return refuse(created.failure())
+        return await self._share(key, claim)
+
+    async def rebind(
+        self,
+        key: str,
+        failed: Ticket,
+        proposed: Ticket,
+    ) -> Ownership:
+        """Bind a claim of this daemon to another ticket.
+
+        Only for a caller that sent nothing to the owner of ``failed``.
+        """
+        cached = self.cached_by_key.get(key)
+        if cached is None or not is_rebindable(cached, failed):
+            return refuse_rebind('other calls were given its owner')
+        # Dropped first: when the outcome stays open, the next call reads
+        # the claim and marks it shared, which fences a late write.
+        self.cached_by_key.pop(key)
+        for _ in range(MAX_TRIES):
+            outcome = await self._rebind_once(key, cached.claim, proposed)
+            if outcome is not None:
+                return outcome
+        return refuse_rebind('the platform did not confirm the change')
+
+    async def _rebind_once(
+        self,
+        key: str,
+        before: Claim,
+        proposed: Ticket,
+    ) -> Ownership | None:
+        """Read and rebind; None when the outcome is not known."""
+        entry = await self._read(key)
+        if not is_successful(entry):
+            return refuse_rebind(entry.failure().detail)
+        found = decode_claim(entry.unwrap())
+        after = before._replace(ticket=proposed)
+        if found is not None and found._replace(shared=False) == after:
+            return self._use(key, found)
+        if found != before:
+            return refuse_rebind('another daemon has used the claim')
+        revision = entry.unwrap().mod_revision
+        written = await self._write(key, revision, after)
+        return self._use(key, after) if written == Success(True) else None
+
+    async def _share(self, key: str, own: Claim) -> Ownership:
+        """Use a claim that exists, marking it shared unless it is own."""
+        for _ in range(MAX_TRIES):
+            outcome = await self._share_once(key, own)
+            if outcome is not None:
+                return outcome
+        return refuse(StoreFailure(True, 'the claim could not be confirmed'))
+
+    async def _share_once(self, key: str, own: Claim) -> Ownership | None:
+        """Read and mark shared; None when the outcome is not known."""
+        entry = await self._read(key)
+        if not is_successful(entry):
+            return refuse(entry.failure())
+        found = decode_claim(entry.unwrap())
+        if found is None:
+            return refuse(StoreFailure(True, 'the claim was not written'))
+        if found.shared or found == own:
+            return self._use(key, found)
+        shared = found._replace(shared=True)
+        revision = entry.unwrap().mod_revision
+        written = await self._write(key, revision, shared)
+        return self._use(key, shared) if written == Success(True) else None
+
+    async def _read(self, key: str) -> Result[StoreEntry, StoreFailure]:
+        answered: Result[tuple[StoreEntry, ...], StoreFailure]
+        answered = await self.ask(StoreGet(key))
+        absent = StoreEntry(key, b'', 0)
+        return answered.map(lambda entries: (*entries, absent)[0])
+
+    async def _write(
+        self,
+        key: str,
+        expected_revision: int,
+        claim: Claim,
+    ) -> Result[bool, StoreFailure]:
+        put = StorePut(key, encode(claim), LEASE_TTL_S)
+        written: Result[bool, StoreFailure]
+        written = await self.ask(
+            StoreCommit(((key, expected_revision),), (put,)),
+        )
+        return written
+
+    def _use(self, key: str, claim: Claim) -> Ownership:
+        self._cache(key, CachedClaim(claim))
+        return Success(claim.ticket)
+
+    def _cache(self, key: str, cached: CachedClaim) -> None:
+        self.cached_by_key[key] = cached
+        self.cached_by_key.move_to_end(key)
+        if len(self.cached_by_key) > self.max_cached:
+            self.cached_by_key.popitem(last=False)
+
+
+def is_rebindable(cached: CachedClaim, failed: Ticket) -> bool:
+    """Tell whether only the asking call was given the failed ticket."""
+    return (
+        not cached.claim.shared
+        and cached.uses == 1
+        and cached.claim.ticket == failed
+    )
+
+
+def decode_claim(entry: StoreEntry) -> Claim | None:
+    """Decode a claim; None when there is none."""
+    if not entry.mod_revision:
+        return None
+    try:
+        return decode(entry.content, type=Claim)
+    except DecodeError:
+        return None
+
+
+def refuse(failure: StoreFailure) -> Ownership:
+    """Refuse a booking of which nothing was sent."""
+    return Failure(
+        create_refusal(
+            'platform-down',
+            'the owner of this booking key could not be determined: '
+            f'{failure.detail}; repeat the request with the same key, or use '
+            'a ticket, which works without the platform',
+            retry_after_ms=1000,
+        ),
+    )
+
+
+def refuse_rebind(detail: str) -> Ownership:
+    """Refuse to rebind a key that another call may have sent."""
+    return Failure(
+        create_unknown_outcome(
+            'booking-owner-unreachable',
+            f'the owner of this booking key does not answer, and {detail}',
+        ),
+    )
--- /dev/null
+++ b/bergamotshunt/decisions/bookings.py
@@ -0,0 +1,260 @@
+"""Booking table: each key runs at most once in this process.
+
+The table holds what this process knows of each booking key. Keys are
+forgotten by era; whatever is forgotten is refused from then on, so that
+forgetting never lets a key run again. All methods are synchronous, so a
+look-up and the step that follows from it cannot be interleaved.
+"""
+
+from collections import OrderedDict
+from enum import StrEnum
+from typing import Final, NamedTuple
+
+from bergamotshunt.calls import Answer
+from bergamotshunt.decisions.tickets import ProcessName, owner_of
+from bergamotshunt.messages import Ticket
+
+# Approximate size of a kept answer beyond its body and headers.
+ANSWER_OVERHEAD_BYTES: Final = 512
+# Owners whose lowest accepted era is remembered for handovers.
+MAX_FLOORS: Final = 16_384
+
+
+class BookingState(StrEnum):
+    """What this process knows of a key."""
+
+    RUNNING = 'running'
+    FINISHED = 'finished'
+    UNKNOWN = 'unknown'
+    HANDED_OVER = 'handed-over'
+
+
+class Booking(NamedTuple):
+    """One remembered key.
+
+    Attributes:
+        ticket: Ticket that the key came with first.
+        state: What is known of its run.
+        successor: Process that took the key over, when handed over.
+        held_in: Local era in which the key is forgotten with others.
+    """
+
+    ticket: Ticket
+    state: BookingState
+    successor: ProcessName | None
+    held_in: int
+
+
+class Step(StrEnum):
+    """What to do with a request for a key."""
+
+    RUN = 'run'
+    JOIN = 'join'
+    REPLAY = 'replay'
+    ANSWER_GONE = 'answer-gone'
+    UNKNOWN = 'outcome-unknown'
+    FOLLOW = 'handed-over'
+    OTHER_TICKET = 'other-ticket'
+    NOT_OWNER = 'not-owner'
+    TOO_OLD = 'too-old'
+    FULL = 'booking-table-full'
+
+
+class BookingLimits(NamedTuple):
+    """Bounds of the memory for bookings; see ``BookingsSettings``."""
+
+    eras_kept: int
+    answer_bytes: int
+    answers_bytes: int
+    max_keys: int
+
+
+class BookingTable:
+    """Booking keys of one process.
+
+    Args:
+        own: This process.
+        limits: Bounds of the memory.
+    """
+
+    def __init__(self, own: ProcessName, limits: BookingLimits) -> None:
+        """Create an empty table in era 0."""
+        self.own = own
+        self.limits = limits
+        self.era = 0
+        self.oldest_era = 0
+        self.by_key: dict[str, Booking] = {}
+        self.answers_by_key: OrderedDict[str, Answer] = OrderedDict()
+        self.answers_bytes = 0
+        self._keys_by_era: dict[int, set[str]] = {}
+        # Lowest accepted (process id, era) of other owners, by daemon id.
+        self._floor_by_owner: dict[str, tuple[int, int]] = {}
+
+    def advance(self, era: int) -> None:
+        """Enter an era; keys of eras that are no longer accepted go."""
+        self.era = max(self.era, era)
+        while self.oldest_era < self.era - self.limits.eras_kept:
+            self._close_oldest_era()
+
+    def look_up(
+        self,
+        key: str,
+        ticket: Ticket,
+        chain: tuple[ProcessName, ...] = (),
+    ) -> Step:
+        """Decide on a request for a key, without changing the table.
+
+        Args:
+            key: Booking key.
+            ticket: Ticket that the sender bound to the key.
+            chain: Processes that the booking came through, from the
+                owner to this process; empty when sent to the owner.
+        """
+        booking = self.by_key.get(key)
+        if booking is not None:
+            return self._step_of(key, booking, ticket)
+        if chain:
+            return self._step_for_handover(ticket, chain)
+        if owner_of(ticket) != self.own or ticket.era > self.era:
+            return Step.NOT_OWNER
+        is_accepted = ticket.era >= self.oldest_era
+        return self._step_for_new(is_accepted, ticket.era)
+
+    def start(self, key: str, ticket: Ticket) -> None:
+        """Note that the key is admitted and will run.
+
+        A full table closes its oldest eras early: a late repeat is then
+        refused, which is better than to refuse all new bookings.
+        Call only after ``look_up`` returned ``Step.RUN``.
+        """
+        while len(self.by_key) >= self.limits.max_keys:
+            self._close_oldest_era()
+        self._remember(key, ticket, BookingState.RUNNING, None)
+
+    def finish(self, key: str, answer: Answer | None) -> None:
+        """Note that the key ran; its answer is kept when it fits."""
+        booking = self.by_key.get(key)
+        if booking is None:
+            return
+        self.by_key[key] = booking._replace(state=BookingState.FINISHED)
+        if answer is not None:
+            self._keep_answer(key, answer)
+
+    def lose(self, key: str) -> None:
+        """Note that the outcome of the run will never be known."""
+        booking = self.by_key.get(key)
+        if booking is not None:
+            self.by_key[key] = booking._replace(state=BookingState.UNKNOWN)
+
+    def withdraw(self, key: str) -> None:
+        """Forget a key that was admitted and certainly did not run."""
+        booking = self.by_key.get(key)
+        if booking is not None and booking.state is BookingState.RUNNING:
+            self._forget(key)
+
+    def hand_over(self, key: str, successor: ProcessName) -> None:
+        """Note that a key that did not run here belongs to a successor.
+
+        Call only for a key that ``start`` noted.
+        """
+        booking = self.by_key.get(key)
+        if booking is not None and booking.state is BookingState.RUNNING:
+            self.by_key[key] = booking._replace(
+                state=BookingState.HANDED_OVER,
+                successor=successor,
+            )
+
+    def _step_of(self, key: str, booking: Booking, ticket: Ticket) -> Step:
+        if booking.ticket != ticket:
+            return Step.OTHER_TICKET
+        if booking.state is BookingState.RUNNING:
+            return Step.JOIN
+        if booking.state is BookingState.HANDED_OVER:
+            return Step.FOLLOW
+        if booking.state is BookingState.UNKNOWN:
+            return Step.UNKNOWN
+        return Step.REPLAY if key in self.answers_by_key else Step.ANSWER_GONE
+
+    def _step_for_handover(
+        self,
+        ticket: Ticket,
+        chain: tuple[ProcessName, ...],
+    ) -> Step:
+        daemon_ids = {process.daemon_id for process in chain}
+        is_whole = (
+            len(daemon_ids) == len(chain)
+            and len(chain) > 1
+            and chain[0] == owner_of(ticket)
+            and chain[-1] == self.own
+        )
+        if not is_whole:
+            return Step.NOT_OWNER
+        known_owner = ticket.daemon_id in self._floor_by_owner
+        if not known_owner and len(self._floor_by_owner) >= MAX_FLOORS:
+            return Step.FULL
+        floor = self._floor_by_owner.get(ticket.daemon_id, (0, 0))
+        is_accepted = (ticket.process_id, ticket.era) >= floor
+        return self._step_for_new(is_accepted, self.era)
+
+    def _step_for_new(self, is_accepted: bool, held_in: int) -> Step:
+        if not is_accepted:
+            return Step.TOO_OLD
+        if len(self.by_key) < self.limits.max_keys:
+            return Step.RUN
+        has_older = any(
+            keys and era < held_in for era, keys in self._keys_by_era.items()
+        )
+        return Step.RUN if has_older else Step.FULL
+
+    def _remember(
+        self,
+        key: str,
+        ticket: Ticket,
+        state: BookingState,
+        successor: ProcessName | None,
+    ) -> None:
+        held_in = self.era
+        if owner_of(ticket) == self.own:
+            held_in = ticket.era
+        else:
+            self._floor_by_owner.setdefault(ticket.daemon_id, (0, 0))
+        self.by_key[key] = Booking(ticket, state, successor, held_in)
+        self._keys_by_era.setdefault(held_in, set()).add(key)
+
+    def _keep_answer(self, key: str, answer: Answer) -> None:
+        size = size_of(answer)
+        if size > self.limits.answer_bytes + ANSWER_OVERHEAD_BYTES:
+            return
+        self.answers_by_key[key] = answer
+        self.answers_bytes += size
+        while self.answers_bytes > self.limits.answers_bytes:
+            _, oldest = self.answers_by_key.popitem(last=False)
+            self.answers_bytes -= size_of(oldest)
+
+    def _close_oldest_era(self) -> None:
+        for key in self._keys_by_era.pop(self.oldest_era, set()):
+            self._raise_floor(self.by_key[key].ticket)
+            self._forget(key)
+        self.oldest_era += 1
+
+    def _raise_floor(self, ticket: Ticket) -> None:
+        # A handed-over key that is forgotten must not run here again, so
+        # its era of its owner is closed here for good.
+        if owner_of(ticket) == self.own:
+            return
+        above = (ticket.process_id, ticket.era + 1)
+        floor = self._floor_by_owner.get(ticket.daemon_id, (0, 0))
+        self._floor_by_owner[ticket.daemon_id] = max(floor, above)
+
+    def _forget(self, key: str) -> None:
+        booking = self.by_key.pop(key)
+        self._keys_by_era.get(booking.held_in, set()).discard(key)
+        answer = self.answers_by_key.pop(key, None)
+        if answer is not None:
+            self.answers_bytes -= size_of(answer)
+
+
+def size_of(answer: Answer) -> int:
+    """Return the approximate memory of a kept answer in bytes."""
+    header_bytes = sum(len(name) + len(text) for name, text in answer.headers)
+    return len(answer.body) + header_bytes + ANSWER_OVERHEAD_BYTES
--- /dev/null
+++ b/bergamotshunt/decisions/health.py
@@ -0,0 +1,117 @@
+"""State of the backend server, from probes and from observed requests."""
+
+from enum import StrEnum
+from typing import Final, NamedTuple
+
+from bergamotshunt.members import ServerState
+
+# Hysteresis keeps the state from changing with every single probe.
+FAILED_PROBES_TO_DOWN: Final = 3
+HEALTHY_PROBES_TO_SERVE: Final = 2
+FAILURE_SCORE_TO_DOWN: Final = 12
+# A server that says it is healthy and fails again soon stays down longer
+# each time.
+FIRST_PAUSE_MS: Final = 1000.0
+LONGEST_PAUSE_MS: Final = 30_000.0
+STABLE_MS: Final = 60_000.0
+
+
+class Evidence(StrEnum):
+    """What a probe or a request has shown."""
+
+    PROBE_HEALTHY = 'probe-healthy'
+    PROBE_FAILED = 'probe-failed'
+    ANSWERED = 'answered'
+    TIMED_OUT = 'timed-out'
+    CONNECTION_LOST = 'connection-lost'
+    CONNECTION_REFUSED = 'connection-refused'
+
+
+FAILURE_SCORES: Final = {
+    Evidence.TIMED_OUT: 1,
+    Evidence.CONNECTION_LOST: 2,
+    Evidence.CONNECTION_REFUSED: 4,
+}
+
+
+class HealthState(NamedTuple):
+    """Health of the backend server beside this daemon.
+
+    Attributes:
+        server_state: ``STARTING``, ``SERVING`` or ``DOWN``.
+        failed_probes: Failed probes in a row.
+        healthy_probes: Healthy probes in a row.
+        failure_score: Sum over failed requests in a row.
+        down_until_ms: No return before this monotonic time.
+        pause_ms: Length of the last pause.
+    """
+
+    server_state: ServerState = ServerState.STARTING
+    failed_probes: int = 0
+    healthy_probes: int = 0
+    failure_score: int = 0
+    down_until_ms: float = 0
+    pause_ms: float = 0
+
+
+def weigh(
+    health: HealthState,
+    evidence: Evidence,
+    now_ms: float,
+) -> HealthState:
+    """Take one piece of evidence into account.
+
+    An answered request outweighs failed probes, and failed requests
+    outweigh healthy probes: probes can be stale or misleading.
+    """
+    if evidence is Evidence.ANSWERED:
+        return health._replace(failed_probes=0, failure_score=0)
+    if evidence is Evidence.PROBE_HEALTHY:
+        return note_healthy_probe(health, now_ms)
+    if evidence is Evidence.PROBE_FAILED:
+        failing = health._replace(
+            failed_probes=health.failed_probes + 1,
+            healthy_probes=0,
+        )
+    else:
+        score = health.failure_score + FAILURE_SCORES[evidence]
+        failing = health._replace(failure_score=score)
+    return go_down_if_failing(failing, now_ms)
+
+
+def note_healthy_probe(health: HealthState, now_ms: float) -> HealthState:
+    """Count a healthy probe; enough of them bring the server back."""
+    healthy = health._replace(
+        failed_probes=0,
+        healthy_probes=health.healthy_probes + 1,
+    )
+    if health.server_state is ServerState.SERVING:
+        return healthy
+    needed = HEALTHY_PROBES_TO_SERVE
+    if health.server_state is ServerState.STARTING:
+        needed = 1
+    if healthy.healthy_probes < needed or now_ms < health.down_until_ms:
+        return healthy
+    return healthy._replace(
+        server_state=ServerState.SERVING,
+        failure_score=0,
+    )
+
+
+def go_down_if_failing(health: HealthState, now_ms: float) -> HealthState:
+    """Leave ``SERVING`` after enough failures."""
+    is_failing = (
+        health.failed_probes >= FAILED_PROBES_TO_DOWN
+        or health.failure_score >= FAILURE_SCORE_TO_DOWN
+    )
+    if not is_failing or health.server_state is not ServerState.SERVING:
+        return health
+    pause_ms = FIRST_PAUSE_MS
+    if now_ms - health.down_until_ms < STABLE_MS and health.pause_ms:
+        pause_ms = min(LONGEST_PAUSE_MS, health.pause_ms * 2)
+    return health._replace(
+        server_state=ServerState.DOWN,
+        healthy_probes=0,
+        down_until_ms=now_ms + pause_ms,
+        pause_ms=pause_ms,
+    )
--- /dev/null
+++ b/bergamotshunt/decisions/limits.py
@@ -0,0 +1,172 @@
+"""Concurrency limit of a backend server, learned from its behaviour."""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from bergamotshunt.registries import Registry
+
+MIN_LIMIT: Final = 1.0
+MS_PER_S: Final = 1000
+# Shares of a new sample in the smoothed values.
+RATIO_SHARE: Final = 0.1
+BASELINE_SHARE: Final = 0.1
+# Latency may exceed the latency at light load by this factor before the
+# limit shrinks; below it, differences are noise of the service time.
+TOLERANCE: Final = 1.3
+# Requests above the computed limit that probe for more capacity.
+HEADROOM: Final = 1.0
+SMALLEST_GRADIENT: Final = 0.5
+# A limit that is not used to this share says nothing about capacity.
+USED_SHARE: Final = 0.8
+LIGHT_SHARE: Final = 0.5
+BACKOFF: Final = 0.9
+# One overload often shows in many answers at once; it counts once.
+BACKOFF_PAUSE_MS: Final = 100.0
+MAX_CLASSES: Final = 64
+# Under constant load no sample shows the latency at light load. The limit
+# is then halved for a short while, so that the baseline can be learned.
+LIGHT_EVERY_MS: Final = 10_000.0
+LEAST_HELD_SAMPLES: Final = 10
+HELD_LIMITS: Final = 2
+
+
+class Sample(NamedTuple):
+    """One finished request at the backend server.
+
+    Attributes:
+        now_ms: Monotonic time of its end.
+        latency_ms: Time from its start to its end.
+        in_flight: Requests in flight at its start, itself included.
+        work_class: Target of the request; classes differ in latency.
+        overloaded: Whether it timed out or the server refused it.
+    """
+
+    now_ms: float
+    latency_ms: float
+    in_flight: int
+    work_class: str = ''
+    overloaded: bool = False
+
+
+class LimitState(NamedTuple):
+    """What a limiter has learned.
+
+    Attributes:
+        limit: Concurrency limit; at least 1.
+        largest: Upper bound of the limit.
+        ratio: Smoothed ratio of latency to the baseline of its class.
+        latency_ms: Smoothed latency of all classes.
+        backoff_at_ms: Time of the last reduction after an overload.
+        light_at_ms: Time of the last sample at light load.
+        held_samples: Samples left until the limit may grow again.
+        baseline_ms_by_class: Mean latency at light load.
+    """
+
+    limit: float
+    largest: float
+    ratio: float = 1.0
+    latency_ms: float = 0
+    backoff_at_ms: float = float('-inf')
+    light_at_ms: float = float('-inf')
+    held_samples: int = 0
+    baseline_ms_by_class: dict[str, float] = {}
+
+
+Limiter = Callable[[LimitState, Sample], LimitState]
+LIMITERS: Final[Registry[Limiter]] = Registry('limiter')
+
+
+@LIMITERS.register('fixed')
+def keep_limit(state: LimitState, sample: Sample) -> LimitState:
+    """Keep the limit; only the latency is learned."""
+    return observe(state, sample)
+
+
+@LIMITERS.register('aimd')
+def add_or_cut(state: LimitState, sample: Sample) -> LimitState:
+    """Add one per limit's worth of answers; cut when latency grows."""
+    learned = observe(state, sample)
+    if sample.overloaded or learned.ratio > 2 * TOLERANCE:
+        return back_off(learned, sample.now_ms)
+    if sample.in_flight < learned.limit * USED_SHARE:
+        return learned
+    return with_limit(learned, learned.limit + 1 / learned.limit)
+
+
+@LIMITERS.register('gradient')
+def follow_gradient(state: LimitState, sample: Sample) -> LimitState:
+    """Scale the limit by the ratio of light-load latency to latency."""
+    learned = observe(state, sample)
+    if sample.overloaded:
+        return back_off(learned, sample.now_ms)
+    if sample.now_ms - learned.light_at_ms > LIGHT_EVERY_MS:
+        return hold_low(learned, sample.now_ms)
+    gradient = min(1.0, max(SMALLEST_GRADIENT, TOLERANCE / learned.ratio))
+    wanted = learned.limit * gradient + HEADROOM
+    is_used = sample.in_flight >= learned.limit * USED_SHARE
+    may_grow = is_used and not learned.held_samples
+    if wanted > learned.limit and not may_grow:
+        return learned
+    step = (wanted - learned.limit) / learned.limit
+    return with_limit(learned, learned.limit + step)
+
+
+def hold_low(state: LimitState, now_ms: float) -> LimitState:
+    """Halve the limit for a few samples, to learn the baseline."""
+    halved = with_limit(state, state.limit / 2)
+    held_samples = max(LEAST_HELD_SAMPLES, int(HELD_LIMITS * state.limit))
+    return halved._replace(
+        light_at_ms=now_ms,
+        held_samples=held_samples,
+        ratio=1.0,
+    )
+
+
+def observe(state: LimitState, sample: Sample) -> LimitState:
+    """Learn latency and, at light load, the baseline of the class."""
+    if sample.overloaded:
+        return state
+    is_light = sample.in_flight <= max(1, state.limit * LIGHT_SHARE)
+    by_class = state.baseline_ms_by_class
+    if is_light or state.held_samples or sample.work_class not in by_class:
+        by_class = learn_baseline(by_class, sample)
+    baseline_ms = by_class[sample.work_class]
+    ratio = sample.latency_ms / baseline_ms if baseline_ms else 1.0
+    return state._replace(
+        latency_ms=smooth(state.latency_ms, sample.latency_ms, RATIO_SHARE),
+        ratio=smooth(state.ratio, ratio, RATIO_SHARE),
+        light_at_ms=sample.now_ms if is_light else state.light_at_ms,
+        held_samples=max(0, state.held_samples - 1),
+        baseline_ms_by_class=by_class,
+    )
+
+
+def learn_baseline(
+    by_class: dict[str, float],
+    sample: Sample,
+) -> dict[str, float]:
+    """Take a sample at light load into the baseline of its class."""
+    before_ms = by_class.get(sample.work_class, 0)
+    baseline_ms = smooth(before_ms, sample.latency_ms, BASELINE_SHARE)
+    if len(by_class) >= MAX_CLASSES:
+        return {sample.work_class: baseline_ms}
+    return {**by_class, sample.work_class: baseline_ms}
+
+
+def back_off(state: LimitState, now_ms: float) -> LimitState:
+    """Reduce the limit after an overload, once in a while."""
+    pause_ms = max(BACKOFF_PAUSE_MS, state.latency_ms)
+    if now_ms - state.backoff_at_ms < pause_ms:
+        return state
+    reduced = with_limit(state, state.limit * BACKOFF)
+    return reduced._replace(backoff_at_ms=now_ms)
+
+
+def with_limit(state: LimitState, limit: float) -> LimitState:
+    """Set the limit within its bounds."""
+    return state._replace(limit=min(state.largest, max(MIN_LIMIT, limit)))
+
+
+def smooth(before: float, latest: float, share: float) -> float:
+    """Move ``before`` towards ``latest``; 0 means nothing is known."""
+    return before + (latest - before) * share if before else latest
--- /dev/null
+++ b/bergamotshunt/decisions/measuring.py
@@ -0,0 +1,86 @@
+"""Measuring budget: what health and load probes may cost a server."""
+
+from typing import Final, NamedTuple
+
+from bergamotshunt.calls import LoadReport
+
+DEFAULT_SHARE: Final = 0.005
+# Above this share of the limit in flight, the server's slots are for
+# requests only.
+BUSY_SHARE: Final = 0.5
+
+
+class MeasuringBudget(NamedTuple):
+    """Token bucket in slot-milliseconds.
+
+    The bucket holds the cost of one probe at most, so a quiet time does
+    not allow a burst of probes later.
+
+    Attributes:
+        probe_cost_ms: Slot-milliseconds that one probe costs.
+        filled_at_ms: Monotonic time up to which tokens were added.
+        slots: Slots of the server since then.
+        share: Share of the slots that may be spent since then.
+        tokens: Slot-milliseconds that may be spent now.
+        allowed: All that was ever added, for the metrics.
+        spent: All that was ever spent, for the metrics.
+    """
+
+    probe_cost_ms: float
+    filled_at_ms: float
+    slots: float
+    share: float = DEFAULT_SHARE
+    tokens: float = 0
+    allowed: float = 0
+    spent: float = 0
+
+
+def refill(budget: MeasuringBudget, now_ms: float) -> MeasuringBudget:
+    """Add the tokens of the time since the last call."""
+    elapsed_ms = max(0, now_ms - budget.filled_at_ms)
+    gained = elapsed_ms * budget.slots * budget.share
+    return budget._replace(
+        filled_at_ms=max(now_ms, budget.filled_at_ms),
+        tokens=min(budget.probe_cost_ms, budget.tokens + gained),
+        allowed=budget.allowed + gained,
+    )
+
+
+def with_rate(
+    budget: MeasuringBudget,
+    now_ms: float,
+    slots: float,
+    share: float,
+) -> MeasuringBudget:
+    """Change the rate from now on; time before counts at the old rate."""
+    return refill(budget, now_ms)._replace(slots=slots, share=share)
+
+
+def is_busy(load: LoadReport) -> bool:
+    """Tell whether the server is too busy to be measured."""
+    return load.queued > 0 or load.in_flight > load.limit * BUSY_SHARE
+
+
+def spend(
+    budget: MeasuringBudget,
+    now_ms: float,
+    load: LoadReport,
+) -> tuple[MeasuringBudget, bool]:
+    """Take the cost of one probe, if the budget and the load allow it.
+
+    Returns:
+        The budget afterwards and whether the probe may be sent.
+    """
+    filled = refill(budget, now_ms)
+    cost_ms = filled.probe_cost_ms
+    if is_busy(load) or filled.tokens < cost_ms:
+        return filled, False
+    spent = filled._replace(tokens=0, spent=filled.spent + cost_ms)
+    return spent, True
+
+
+def wait_ms(budget: MeasuringBudget) -> float:
+    """Return the time until the tokens reach the cost of one probe."""
+    rate = budget.slots * budget.share
+    missing = budget.probe_cost_ms - budget.tokens
+    return missing / rate if rate else float('inf')
--- /dev/null
+++ b/bergamotshunt/decisions/tickets.py
@@ -0,0 +1,94 @@
+"""Booking tickets: their text form, and the process that owns them."""
+
+from random import Random
+from re import ASCII
+from re import compile as compile_pattern
+from typing import Final, NamedTuple
+
+from bergamotshunt.messages import Ticket
+
+PREFIX: Final = 'bk1.'
+NONCE_BITS: Final = 128
+_NUMBER = '(0|[1-9][0-9]{0,17})'
+_NAME = '([A-Za-z0-9_-]{1,64})'
+_TICKET = compile_pattern(
+    rf'bk1\.{_NAME}\.{_NUMBER}\.{_NUMBER}\.([A-Za-z0-9_-]{{8,64}})',
+    ASCII,
+)
+_PROCESS = compile_pattern(rf'{_NAME}\.{_NUMBER}', ASCII)
+
+
+class ProcessName(NamedTuple):
+    """One process of one daemon; text form ``<daemon id>.<process id>``.
+
+    The daemon id alone does not name the holder of a booking table: the
+    table of a daemon is empty again after a restart.
+    """
+
+    daemon_id: str
+    process_id: int
+
+
+def owner_of(ticket: Ticket) -> ProcessName:
+    """Return the process that owns the key of the ticket."""
+    return ProcessName(ticket.daemon_id, ticket.process_id)
+
+
+def is_ticket_form(text: str) -> bool:
+    """Tell whether the text is meant as a ticket, valid or not."""
+    return text.startswith(PREFIX)
+
+
+def format_ticket(ticket: Ticket) -> str:
+    """Return the text form of a ticket."""
+    return (
+        f'{PREFIX}{ticket.daemon_id}.{ticket.process_id}'
+        f'.{ticket.era}.{ticket.nonce}'
+    )
+
+
+def parse_ticket(text: str) -> Ticket | None:
+    """Parse a ticket; None when the text is not exactly one ticket."""
+    found = _TICKET.fullmatch(text)
+    if found is None:
+        return None
+    daemon_id, process_id, era, nonce = found.groups()
+    return Ticket(daemon_id, int(process_id), int(era), nonce)
+
+
+def create_ticket(owner: ProcessName, era: int, rng: Random) -> Ticket:
+    """Create a ticket with a random part of 128 bits."""
+    nonce = f'{rng.getrandbits(NONCE_BITS):032x}'
+    return Ticket(owner.daemon_id, owner.process_id, era, nonce)
+
+
+def format_process(process: ProcessName) -> str:
+    """Return the text form of a process name."""
+    return f'{process.daemon_id}.{process.process_id}'
+
+
+def parse_process(text: str) -> ProcessName | None:
+    """Parse a process name; None when the text is malformed."""
+    found = _PROCESS.fullmatch(text)
+    if found is None:
+        return None
+    daemon_id, process_id = found.groups()
+    return ProcessName(daemon_id, int(process_id))
+
+
+def parse_chain(text: str) -> tuple[ProcessName, ...] | None:
+    """Parse a list of process names with commas.
+
+    Returns:
+        The names; empty for an empty text, None for a malformed one.
+    """
+    if not text:
+        return ()
+    names = [parse_process(part.strip()) for part in text.split(',')]
+    known = tuple(name for name in names if name is not None)
+    return known if len(known) == len(names) else None
+
+
+def era_at(now_ms: float, started_ms: float, era_s: float) -> int:
+    """Return the booking era of a process that started at ``started_ms``."""
+    return int((now_ms - started_ms) // (era_s * 1000))
--- /dev/null
+++ b/bergamotshunt/plugins/claims.py
@@ -0,0 +1,133 @@
+"""Claims: finds the owner of each booking key."""
+
+from asyncio import Event
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from secrets import token_hex
+from time import time
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from bergamotshunt.claiming import ClaimBook, Ownership, refuse_rebind
+from bergamotshunt.decisions.booking_keys import ALLOWED, check_uuid7
+from bergamotshunt.decisions.tickets import is_ticket_form, parse_ticket
+from bergamotshunt.kernel import (
+    PLUGINS,
+    Context,
+    HandlerTable,
+    NoHandlerError,
+    Task,
+)
+from bergamotshunt.messages import (
+    DescribeTask,
+    RebindBooking,
+    ResolveBooking,
+    StoreFailure,
+    Ticket,
+)
+from bergamotshunt.verdicts import CallFailure, create_refusal
+
+HANDLERS: Final = HandlerTable()
+MS_PER_S: Final = 1000
+NONCE_BYTES: Final = 16
+
+
+class ClaimsTask(Task):
+    """Owns the claims that this daemon knows."""
+
+    name = 'claims'
+    handlers = HANDLERS
+
+    def __init__(self, context: Context) -> None:
+        """Create the task without claims."""
+        super().__init__(context)
+        self.book = ClaimBook(self.ask_store, create_nonce)
+        self.busy_by_key: dict[str, Event] = {}
+
+    async def ask_store(self, question: Any) -> Any:
+        """Ask the store; no reply in time counts as a lost answer."""
+        try:
+            return await self.post.ask(question)
+        except (TimeoutError, NoHandlerError) as error:
+            detail = f'the store task did not reply ({type(error).__name__})'
+            return Failure(StoreFailure(may_have_run=True, detail=detail))
+
+    async def serialize(
+        self,
+        key: str,
+        work: Callable[[], Awaitable[Ownership]],
+    ) -> Ownership:
+        """Run the work for a key after all earlier work for it."""
+        while key in self.busy_by_key:
+            await self.busy_by_key[key].wait()
+        ended = Event()
+        self.busy_by_key[key] = ended
+        try:
+            return await work()
+        finally:
+            self.busy_by_key.pop(key)
+            ended.set()
+
+
+def create_nonce() -> str:
+    """Return a random text that no other claim contains."""
+    return token_hex(NONCE_BYTES)
+
+
+def claim_key(service: str, key: str) -> str:
+    """Return the key of a claim in the platform."""
+    return f'claims/{service}/{key}'
+
+
+def read_ticket(key: str) -> Result[Ticket, CallFailure]:
+    """Parse a booking key that is a ticket."""
+    ticket = parse_ticket(key)
+    if ticket is None:
+        return Failure(
+            create_refusal(
+                'malformed-booking-key',
+                ALLOWED,
+                HTTPStatus.BAD_REQUEST,
+            ),
+        )
+    return Success(ticket)
+
+
+@HANDLERS.on(ResolveBooking)
+async def resolve(task: ClaimsTask, message: ResolveBooking) -> Ownership:
+    """Tell who owns a booking key."""
+    if is_ticket_form(message.key):
+        return read_ticket(message.key)
+    match check_uuid7(message.key, time() * MS_PER_S):
+        case Failure(failure):
+            return Failure(failure)
+    key = claim_key(message.service, message.key)
+    return await task.serialize(
+        key,
+        lambda: task.book.resolve(key, message.proposed),
+    )
+
+
+@HANDLERS.on(RebindBooking)
+async def rebind(task: ClaimsTask, message: RebindBooking) -> Ownership:
+    """Bind a booking key to another owner, if nothing was sent."""
+    if is_ticket_form(message.key):
+        return refuse_rebind('a ticket cannot be moved to another owner')
+    key = claim_key(message.service, message.key)
+    return await task.serialize(
+        key,
+        lambda: task.book.rebind(key, message.failed, message.proposed),
+    )
+
+
+@HANDLERS.on(DescribeTask)
+def describe(task: ClaimsTask, _message: DescribeTask) -> dict[str, Any]:
+    """Describe the claims for the daemon's status."""
+    return {'claims': {'cached': len(task.book.cached_by_key)}}
+
+
+@PLUGINS.register('claims')
+def create_claims(context: Context) -> ClaimsTask:
+    """Create the claims task."""
+    return ClaimsTask(context)
