Let the backend server stand-in misbehave on demand and judge what ran

Cause: the stand-in of the first path could only count bookings; straggling, freezing, short and foreign answers, shedding, drain, cold starts, connection limits and noisy neighbours could not be produced, so no property could be tried against them.

Change: the stand-in draws seeded service times by the kind of call, honours deadlines and cancellation, refuses connections over its limit, and runs as a process (`python -m standins.backend`) with a control port for faults, holds and judges. Runs are counted when they start, so that a run that is cancelled midway counts as run.

Ruled out: uvicorn's own limit on concurrency, which answers 503 where a real server refuses the connection. A new connection costs a wait of 1 ms and no slot: with a slot it made a request wait past its deadline while all slots were held (seen in the test of deadlines, which timed out after 20 s).

The checks were seen to fail with a stand-in that records a run before it refuses, and with the slot cost above.

Conclusion: at-most-once and not-run now have a judge outside the product.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -1,12 +1,48 @@
 """Stand-in for a backend server with slots and injected faults."""
 
-from asyncio import Semaphore, sleep
-from collections import Counter
-from typing import Any
+from asyncio import (
+    CancelledError,
+    Event,
+    Semaphore,
+    current_task,
+    sleep,
+    timeout,
+)
+from collections import Counter, defaultdict, deque
+from functools import partial
+from http import HTTPStatus
+from random import Random
+from time import monotonic
+from typing import Any, Final
 
-from bergamotshunt.web import decode_headers, read_body, send_json, send_whole
+from bergamotshunt.headers import BOOKING_KEY, REQUEST_ID, VERDICT
+from bergamotshunt.web import (
+    CallerGoneError,
+    decode_headers,
+    read_body,
+    send_json,
+    send_whole,
+)
+from standins.answers import (
+    HOLD_LIMIT_S,
+    OWN_REQUEST_ID,
+    Work,
+    read_work,
+    send_answer,
+    write_body,
+)
+from standins.injected import Faults
+from standins.kinds import draw_service_ms, find_kind
+from standins.serving import Connections
 
-MAX_BODY_BYTES = 1 << 26
+MAX_BODY_BYTES: Final = 1 << 26
+CONNECT_COST_MS: Final = 1
+PROBE_COST_MS: Final = 5
+MS_PER_S: Final = 1000
+REMEMBERED_ANSWERS: Final = 8
+# Header by which a caller names its booking to the judge; the idempotency
+# key may be a ticket that the balancer issued.
+BOOKING_ID: Final = 'x-booking-id'
 
 
 class BackendStandIn:
@@ -15,37 +51,248 @@
     Args:
         name: Told in each answer.
         slots: Requests that run at the same time.
-        service_time_ms: Time that each request holds a slot.
+        service_time_ms: Time that each request holds a slot; None draws
+            it by the kind of call.
+        seed: Seed of service times and faults.
+        queue_limit: Requests that may wait for a slot; more are shed.
+        cold_s: Time after the start during which runs are slower.
+        cold_factor: Factor on service times at the start.
+        connections: Most open connections.
     """
 
     def __init__(
-        self, name: str, slots: int = 10, service_time_ms: float = 1
+        self,
+        name: str,
+        slots: int = 10,
+        service_time_ms: float | None = 1,
+        seed: int = 0,
+        queue_limit: int = 1000,
+        cold_s: float = 0,
+        cold_factor: float = 10,
+        connections: int = 200,
     ) -> None:
         """Create an idle server."""
         self.name = name
+        self.slot_count = slots
         self.slots = Semaphore(slots)
         self.service_time_ms = service_time_ms
+        self.rng = Random(seed)
+        self.queue_limit = queue_limit
+        self.cold_s = cold_s
+        self.cold_factor = cold_factor
+        self.connections = Connections(connections)
+        self.faults = Faults()
+        self.draining = False
+        self.started_at = monotonic()
+        self.queued = 0
+        self.running = 0
+        self.probe_ms = 0.0
+        self.last_run_at = 0.0
         self.executions_by_key = Counter[str]()
+        self.runs_by_request_id = Counter[str]()
+        self.runs_by_path = Counter[str]()
+        self.outcomes = Counter[str]()
+        self.thawed = Event()
+        self.thawed.set()
+        self.reached_by_name: dict[str, Event] = defaultdict(Event)
+        self.released_by_name: dict[str, Event] = defaultdict(Event)
+        self._answers: deque[tuple[str, bytes]] = deque(
+            maxlen=REMEMBERED_ANSWERS
+        )
+        self._last_health = True
+
+    @property
+    def busy(self) -> int:
+        """Return the number of slots in use, by requests or neighbours."""
+        return self.slot_count - self.slots._value
+
+    def slowness(self) -> float:
+        """Return the factor on service times of this moment."""
+        factor = self.faults.straggle
+        age_s = monotonic() - self.started_at
+        if age_s < self.cold_s:
+            factor *= 1 + (self.cold_factor - 1) * (1 - age_s / self.cold_s)
+        return factor
+
+    def change_faults(self, changes: dict[str, Any]) -> None:
+        """Put faults in force; those not named stay as they are."""
+        self.faults = self.faults._replace(**changes)
+        if self.faults.freeze:
+            self.thawed.clear()
+        else:
+            self.thawed.set()
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request (ASGI)."""
+        client = scope.get('client')
+        task = current_task()
+        if client is not None and task is not None:
+            self.connections.running_by_client[client] = task
+        try:
+            await self.serve(scope, receive, send)
+        except (CallerGoneError, CancelledError):
+            self.outcomes['cancelled'] += 1
+        finally:
+            self.connections.running_by_client.pop(client, None)
+
+    async def serve(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one request; cancelled when its sender leaves."""
+        await self.thawed.wait()
+        if scope.get('client') in self.connections.unused:
+            self.connections.unused.discard(scope['client'])
+            await sleep(CONNECT_COST_MS / MS_PER_S)
         headers = decode_headers(scope)
         body = await read_body(receive, MAX_BODY_BYTES)
         if scope['path'] in {'/health', '/load'}:
-            await send_json(send, {'healthy': True})
+            await self.serve_probe(scope['path'], send)
+            return
+        work = read_work(scope, headers, body)
+        refusal = self.find_refusal()
+        if refusal is not None:
+            await self.send_problem(send, work, *refusal)
             return
+        await self.run(work, send)
+
+    def find_refusal(self) -> tuple[int, str] | None:
+        """Return status and verdict when the request is not admitted."""
+        if self.rng.random() < self.faults.fail_fast:
+            return HTTPStatus.INTERNAL_SERVER_ERROR, ''
+        if self.draining or self.queued >= self.queue_limit:
+            return HTTPStatus.SERVICE_UNAVAILABLE, 'not-run'
+        if self.rng.random() < self.faults.shed:
+            return HTTPStatus.SERVICE_UNAVAILABLE, 'not-run'
+        return None
+
+    async def hold_slot(self, time_ms: float) -> None:
+        """Take a slot for some time."""
         async with self.slots:
-            await sleep(self.service_time_ms / 1000)
-            key = headers.get('idempotency-key')
-            if key:
-                self.executions_by_key[key] += 1
-        answer = f'{self.name} {scope["method"]} {scope["path"]} {len(body)}'
-        await send_whole(
-            send,
-            200,
-            [
-                ('content-type', 'text/plain'),
-                ('x-request-id', headers.get('bergamotshunt-request-id', '')),
-            ],
-            answer.encode(),
-        )
+            await sleep(time_ms / MS_PER_S)
+
+    async def run(self, work: Work, send: Any) -> None:
+        """Wait for a slot, run, and answer."""
+        self.queued += 1
+        try:
+            async with timeout(max(0, work.expires_at - monotonic())):
+                await self.slots.acquire()
+        except TimeoutError:
+            await self.send_problem(
+                send, work, HTTPStatus.GATEWAY_TIMEOUT, 'not-run'
+            )
+            return
+        finally:
+            self.queued -= 1
+        self.running += 1
+        try:
+            in_time = await self.execute(work)
+        finally:
+            self.running -= 1
+            self.slots.release()
+        if not in_time:
+            await self.send_problem(
+                send, work, HTTPStatus.GATEWAY_TIMEOUT, 'may-have-run'
+            )
+            return
+        await self.answer(work, send)
+
+    async def execute(self, work: Work) -> bool:
+        """Count the run and spend its service time.
+
+        Returns:
+            Whether it ended before the deadline.
+        """
+        for _ in range(1 + self.faults.run_twice):
+            self.note_run(work)
+        await self.pause_at(work, 'hold')
+        time_s = self.draw_ms(work) * self.slowness() / MS_PER_S
+        left_s = work.expires_at - monotonic()
+        await sleep(min(time_s, max(0, left_s)))
+        return time_s <= left_s
+
+    def note_run(self, work: Work) -> None:
+        """Record an execution for the judges."""
+        key = work.headers.get(BOOKING_ID) or work.headers.get(BOOKING_KEY)
+        if key:
+            self.executions_by_key[key] += 1
+        self.runs_by_request_id[work.headers.get(REQUEST_ID, '')] += 1
+        kind = find_kind(work.method, work.path)
+        self.runs_by_path[kind.path_prefix if kind else work.path] += 1
+        self.last_run_at = monotonic()
+
+    def draw_ms(self, work: Work) -> float:
+        """Draw the service time of a request."""
+        if 'service_ms' in work.query:
+            return float(work.query['service_ms'][0])
+        kind = find_kind(work.method, work.path)
+        if self.service_time_ms is not None or kind is None:
+            return self.service_time_ms or 0
+        return draw_service_ms(kind, self.rng)
+
+    async def pause_at(self, work: Work, step: str) -> None:
+        """Wait at a step that the request names, until it is released."""
+        if step not in work.query:
+            return
+        name = work.query[step][0]
+        self.reached_by_name[name].set()
+        async with timeout(HOLD_LIMIT_S):
+            await self.released_by_name[name].wait()
+
+    async def answer(self, work: Work, send: Any) -> None:
+        """Send the answer of a finished run."""
+        await sleep(self.faults.late_ms / MS_PER_S)
+        if self.rng.random() < self.faults.deny_run:
+            await self.send_problem(
+                send, work, HTTPStatus.SERVICE_UNAVAILABLE, 'not-run'
+            )
+            return
+        request_id = work.headers.get(REQUEST_ID, '')
+        body = write_body(self.name, work, self.choose_size(work))
+        if self._answers and self.rng.random() < self.faults.foreign:
+            request_id, body = self._answers[0]
+        self._answers.append((request_id, body))
+        self.outcomes['answered'] += 1
+        cut = self.rng.random() < self.faults.cut_short
+        pause = partial(self.pause_at, work, 'hold_answer')
+        await send_answer(send, request_id, body, cut, pause)
+
+    def choose_size(self, work: Work) -> int:
+        """Choose the size of the answer."""
+        if 'answer_bytes' in work.query:
+            return int(work.query['answer_bytes'][0])
+        kind = find_kind(work.method, work.path)
+        if self.service_time_ms is not None or kind is None:
+            return 0
+        return kind.answer_bytes
+
+    async def send_problem(
+        self, send: Any, work: Work, status: int, verdict: str
+    ) -> None:
+        """Send an error, with the verdict when it is known."""
+        self.outcomes[f'{int(status)} {verdict}'.strip()] += 1
+        request_id = work.headers.get(REQUEST_ID, '')
+        items = [(REQUEST_ID, request_id), (OWN_REQUEST_ID, request_id)]
+        if verdict:
+            items.append((VERDICT, verdict))
+        await send_whole(send, int(status), items, b'')
+
+    async def serve_probe(self, path: str, send: Any) -> None:
+        """Answer a health or load probe, which costs part of a slot."""
+        self.probe_ms += PROBE_COST_MS
+        await self.hold_slot(PROBE_COST_MS)
+        healthy = not self.draining and self.faults.fail_fast < 1
+        told = healthy
+        if self.faults.health == 'lie':
+            told = True
+        elif self.faults.health == 'lag':
+            told, self._last_health = self._last_health, healthy
+        if path == '/load':
+            report = {'running': self.running, 'slots': self.slot_count}
+            await send_json(send, report)
+            return
+        status = HTTPStatus.OK if told else HTTPStatus.SERVICE_UNAVAILABLE
+        await send_json(send, {'healthy': told}, status)
+
+
+if __name__ == '__main__':
+    from standins.backend_process import main
+
+    main()
--- /dev/null
+++ b/standins/backend_process.py
@@ -0,0 +1,228 @@
+"""Process of a backend stand-in: service port, control port and judges.
+
+Control paths: ``GET /judge``, ``POST /faults`` with fields of ``Faults``,
+``POST /reset``, ``POST /drain``, ``POST /cold``, ``POST /noise``,
+``GET /reached?name=`` and ``POST /release?name=``.
+"""
+
+from argparse import ArgumentParser, Namespace
+from asyncio import Event, get_running_loop, run, sleep, wait_for
+from asyncio import Task as AsyncioTask
+from asyncio import create_task
+from json import dumps, loads
+from random import Random
+from signal import SIGINT, SIGTERM
+from sys import stdout
+from time import monotonic
+from typing import Any, Final
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from bergamotshunt.web import HttpServer
+from standins.backend import BackendStandIn
+from standins.serving import StandInServer
+
+REACH_LIMIT_S: Final = 20
+DRAIN_LIMIT_S: Final = 20
+POLL_S: Final = 0.01
+
+
+class BackendProcess:
+    """A backend stand-in with its two ports."""
+
+    def __init__(
+        self, app: BackendStandIn, ip: str, port: int, control_port: int
+    ) -> None:
+        """Create the servers without listening."""
+        self.app = app
+        self.server = StandInServer(app, ip, port, app.connections)
+        routes = [
+            Route('/judge', self.show_judge),
+            Route('/faults', self.set_faults, methods=['POST']),
+            Route('/reset', self.reset, methods=['POST']),
+            Route('/drain', self.drain, methods=['POST']),
+            Route('/cold', self.start_cold, methods=['POST']),
+            Route('/noise', self.set_noise, methods=['POST']),
+            Route('/reached', self.wait_reached),
+            Route('/release', self.release, methods=['POST']),
+        ]
+        self.control = HttpServer(Starlette(routes=routes), ip, control_port)
+        self.neighbour: AsyncioTask[None] | None = None
+
+    async def open(self) -> None:
+        """Listen on both ports."""
+        await self.server.open()
+        await self.control.open()
+
+    async def close(self) -> None:
+        """Close both ports."""
+        if self.neighbour is not None:
+            self.neighbour.cancel()
+        await self.server.close()
+        await self.control.close()
+
+    async def show_judge(self, _request: Request) -> JSONResponse:
+        """Answer with everything that was counted."""
+        return JSONResponse(describe(self.app))
+
+    async def set_faults(self, request: Request) -> JSONResponse:
+        """Put faults in force."""
+        self.app.change_faults(await request.json())
+        if self.app.faults.refuse:
+            await self.server.refuse()
+            self.app.connections.abort_idle()
+        else:
+            await self.server.open()
+        return JSONResponse(self.app.faults._asdict())
+
+    async def reset(self, _request: Request) -> JSONResponse:
+        """Start the counts of a new measurement; records for judges stay."""
+        self.app.probe_ms = 0
+        self.app.outcomes.clear()
+        self.app.runs_by_path.clear()
+        return JSONResponse({})
+
+    async def drain(self, request: Request) -> JSONResponse:
+        """Begin to drain, or end it with ``{"draining": false}``."""
+        body = loads(await request.body() or b'{}')
+        self.app.draining = body.get('draining', True)
+        return JSONResponse({'draining': self.app.draining})
+
+    async def start_cold(self, request: Request) -> JSONResponse:
+        """Begin a cold start with the given ``cold_s`` and ``factor``."""
+        body = await request.json()
+        self.app.cold_s = body['cold_s']
+        self.app.cold_factor = body['factor']
+        self.app.started_at = monotonic()
+        return JSONResponse({})
+
+    async def set_noise(self, request: Request) -> JSONResponse:
+        """Begin or end bursts of a neighbour; see ``disturb``."""
+        body = await request.json()
+        if self.neighbour is not None:
+            self.neighbour.cancel()
+            self.neighbour = None
+        if body.get('slots', 0):
+            self.neighbour = create_task(disturb(self.app, **body))
+        return JSONResponse({})
+
+    async def wait_reached(self, request: Request) -> JSONResponse:
+        """Answer when a request waits at the named step."""
+        reached = self.app.reached_by_name[request.query_params['name']]
+        try:
+            await wait_for(reached.wait(), REACH_LIMIT_S)
+        except TimeoutError:
+            return JSONResponse({'reached': False}, 504)
+        return JSONResponse({'reached': True})
+
+    async def release(self, request: Request) -> JSONResponse:
+        """Let the request at the named step go on."""
+        self.app.released_by_name[request.query_params['name']].set()
+        return JSONResponse({})
+
+
+async def disturb(
+    app: BackendStandIn,
+    slots: int,
+    gap_ms: float = 150,
+    burst_ms: float = 60,
+    seed: int = 0,
+) -> None:
+    """Take slots in bursts, as a neighbour on the same host would.
+
+    Args:
+        app: The server that is disturbed.
+        slots: Most slots that a burst takes.
+        gap_ms: Mean time between bursts.
+        burst_ms: Mean time that a burst holds its slots.
+        seed: Seed of the times.
+    """
+    rng = Random(seed)
+    bursts: set[AsyncioTask[None]] = set()
+    try:
+        while True:
+            await sleep(rng.expovariate(1 / gap_ms) / 1000)
+            held_ms = rng.expovariate(1 / burst_ms)
+            for _ in range(rng.randint(1, slots)):
+                burst = create_task(app.hold_slot(held_ms))
+                bursts.add(burst)
+                burst.add_done_callback(bursts.discard)
+    finally:
+        for burst in tuple(bursts):
+            burst.cancel()
+
+
+def describe(app: BackendStandIn) -> dict[str, Any]:
+    """Describe what a stand-in counted, for the judges."""
+    return {
+        'name': app.name,
+        'busy': app.busy,
+        'queued': app.queued,
+        'running': app.running,
+        'slots': app.slot_count,
+        'draining': app.draining,
+        'slowness': app.slowness(),
+        'probe_ms': app.probe_ms,
+        'up_s': monotonic() - app.started_at,
+        'idle_s': monotonic() - app.last_run_at,
+        'executions_by_key': app.executions_by_key,
+        'runs_by_request_id': app.runs_by_request_id,
+        'runs_by_path': app.runs_by_path,
+        'outcomes': app.outcomes,
+        'refused_connections': app.connections.refused,
+        'open_connections': len(app.connections.open_by_client),
+    }
+
+
+def parse_arguments() -> Namespace:
+    """Read the command line."""
+    parser = ArgumentParser(prog='python -m standins.backend')
+    parser.add_argument('--name', required=True)
+    parser.add_argument('--ip', default='127.0.0.1')
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--control-port', type=int, default=0)
+    parser.add_argument('--slots', type=int, default=10)
+    parser.add_argument('--connections', type=int, default=200)
+    parser.add_argument('--queue-limit', type=int, default=1000)
+    parser.add_argument('--cold-s', type=float, default=0)
+    parser.add_argument('--cold-factor', type=float, default=10)
+    parser.add_argument('--seed', type=int, default=0)
+    return parser.parse_args()
+
+
+async def serve(arguments: Namespace) -> None:
+    """Serve until SIGTERM, then finish what runs."""
+    app = BackendStandIn(
+        arguments.name,
+        arguments.slots,
+        None,
+        arguments.seed,
+        arguments.queue_limit,
+        arguments.cold_s,
+        arguments.cold_factor,
+        arguments.connections,
+    )
+    process = BackendProcess(
+        app, arguments.ip, arguments.port, arguments.control_port
+    )
+    stopping = Event()
+    for number in (SIGTERM, SIGINT):
+        get_running_loop().add_signal_handler(number, stopping.set)
+    await process.open()
+    ports = {'port': process.server.port, 'control': process.control.port}
+    stdout.write(f'{dumps(ports)}\n')
+    stdout.flush()
+    await stopping.wait()
+    app.draining = True
+    give_up_at = monotonic() + DRAIN_LIMIT_S
+    while app.running + app.queued and monotonic() < give_up_at:
+        await sleep(POLL_S)
+    await process.close()
+
+
+def main() -> None:
+    """Run the process of a backend stand-in."""
+    run(serve(parse_arguments()))
--- /dev/null
+++ b/standins/kinds.py
@@ -0,0 +1,209 @@
+"""Kinds of call of the two deployments, with seeded service times."""
+
+from collections.abc import Callable
+from math import exp, log, sqrt
+from random import Random
+from typing import Final, NamedTuple
+
+from bergamotshunt.registries import Registry
+
+
+class Kind(NamedTuple):
+    """One kind of call.
+
+    Attributes:
+        service: Service that runs it.
+        name: Name of the target it belongs to.
+        method: HTTP method.
+        path_prefix: Prefix of its path below the service.
+        distribution: Name in ``DISTRIBUTIONS``.
+        mean_ms: Mean service time.
+        answer_bytes: Size of the answer.
+        share: Share of all calls in a quiet hour.
+        weight: Weight in the count of answers in time.
+        answered_within_ms: Wanted time to the whole answer.
+        internal: Whether it is a check between services.
+    """
+
+    service: str
+    name: str
+    method: str
+    path_prefix: str
+    distribution: str
+    mean_ms: float
+    answer_bytes: int
+    share: float
+    weight: float
+    answered_within_ms: int
+    internal: bool = False
+
+
+Distribution = Callable[[Random, float], float]
+DISTRIBUTIONS: Final[Registry[Distribution]] = Registry('distribution')
+LOGNORMAL_SIGMA: Final = 0.5
+
+
+@DISTRIBUTIONS.register('fixed')
+def draw_fixed(_rng: Random, mean_ms: float) -> float:
+    """Return the mean."""
+    return mean_ms
+
+
+@DISTRIBUTIONS.register('exponential')
+def draw_exponential(rng: Random, mean_ms: float) -> float:
+    """Draw from an exponential distribution."""
+    return rng.expovariate(1 / mean_ms)
+
+
+@DISTRIBUTIONS.register('lognormal')
+def draw_lognormal(rng: Random, mean_ms: float) -> float:
+    """Draw from a lognormal distribution with a moderate tail."""
+    location = log(mean_ms) - LOGNORMAL_SIGMA**2 / 2
+    return exp(rng.gauss(location, LOGNORMAL_SIGMA))
+
+
+@DISTRIBUTIONS.register('two-modes')
+def draw_two_modes(rng: Random, mean_ms: float) -> float:
+    """Draw mostly short times and one long time in twenty."""
+    short_ms = mean_ms / sqrt(2)
+    long_ms = 20 * (mean_ms - 0.95 * short_ms)
+    return long_ms if rng.random() < 0.05 else short_ms
+
+
+KINDS: Final = (
+    Kind(
+        'jar-ledger',
+        'balance',
+        'GET',
+        '/balances',
+        'lognormal',
+        20,
+        400,
+        0.7,
+        1,
+        200,
+    ),
+    Kind(
+        'jar-ledger',
+        'refund',
+        'POST',
+        '/refunds',
+        'lognormal',
+        40,
+        300,
+        0.15,
+        3,
+        1000,
+    ),
+    Kind(
+        'catalog',
+        'pack',
+        'GET',
+        '/packs',
+        'two-modes',
+        60,
+        400_000,
+        0.03,
+        1,
+        2000,
+    ),
+    Kind(
+        'catalog',
+        'jar-spec',
+        'GET',
+        '/specs',
+        'lognormal',
+        10,
+        800,
+        0.12,
+        0,
+        100,
+        internal=True,
+    ),
+    Kind(
+        'returns-desk',
+        'schedule',
+        'GET',
+        '/schedules',
+        'lognormal',
+        15,
+        1500,
+        0.45,
+        1,
+        200,
+    ),
+    Kind(
+        'returns-desk',
+        'drum-credit',
+        'GET',
+        '/drum-credits',
+        'lognormal',
+        20,
+        300,
+        0.25,
+        1,
+        200,
+    ),
+    Kind(
+        'returns-desk',
+        'pickup',
+        'POST',
+        '/pickups',
+        'lognormal',
+        50,
+        300,
+        0.1,
+        4,
+        1000,
+    ),
+    Kind(
+        'assay-vault',
+        'silver-credit',
+        'POST',
+        '/silver-credits',
+        'lognormal',
+        40,
+        300,
+        0.1,
+        5,
+        1000,
+    ),
+    Kind(
+        'assay-vault',
+        'certificate',
+        'GET',
+        '/certificates',
+        'two-modes',
+        40,
+        120_000,
+        0.06,
+        2,
+        1500,
+    ),
+    Kind(
+        'assay-vault',
+        'assay-check',
+        'GET',
+        '/checks',
+        'fixed',
+        5,
+        200,
+        0.04,
+        0,
+        100,
+        internal=True,
+    ),
+)
+
+
+def find_kind(method: str, path: str) -> Kind | None:
+    """Return the kind of a request to a backend server, or None."""
+    for kind in KINDS:
+        if method == kind.method and path.startswith(kind.path_prefix):
+            return kind
+    return None
+
+
+def draw_service_ms(kind: Kind, rng: Random) -> float:
+    """Draw a service time in milliseconds."""
+    return DISTRIBUTIONS.get(kind.distribution)(rng, kind.mean_ms)
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,141 @@
+"""HTTP listener of a backend stand-in with a bound on connections."""
+
+from asyncio import Server, get_running_loop
+from asyncio import Task as AsyncioTask
+from collections.abc import Callable
+from logging import getLogger
+from socket import (
+    AF_INET,
+    SO_LINGER,
+    SO_REUSEADDR,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    socket,
+)
+from struct import pack
+from typing import Any, Final
+
+from uvicorn import Config
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.server import ServerState
+
+BACKLOG: Final = 512
+Client = tuple[str, int]
+
+
+class Connections:
+    """Open connections and the requests that run on them."""
+
+    def __init__(self, limit: int) -> None:
+        """Create an empty set."""
+        self.limit = limit
+        self.unused: set[Client] = set()
+        self.running_by_client: dict[Client, AsyncioTask[Any]] = {}
+        self.open_by_client: dict[Client, HttpToolsProtocol] = {}
+        self.refused = 0
+        self.accepted = 0
+
+    def abort_idle(self) -> None:
+        """Close the connections on which no request runs."""
+        for client, protocol in tuple(self.open_by_client.items()):
+            if client not in self.running_by_client:
+                protocol.transport.close()
+
+    def abort_all(self) -> None:
+        """Reset all connections."""
+        for protocol in tuple(self.open_by_client.values()):
+            protocol.transport.abort()
+
+
+class LimitedProtocol(HttpToolsProtocol):
+    """Refuses connections over the limit and reports lost ones."""
+
+    connections_held: Connections
+
+    def connection_made(self, transport: Any) -> None:
+        """Count the connection, or reset it when there are too many."""
+        held = self.connections_held
+        if len(held.open_by_client) >= held.limit:
+            held.refused += 1
+            raw = transport.get_extra_info('socket')
+            raw.setsockopt(SOL_SOCKET, SO_LINGER, pack('ii', 1, 0))
+            super().connection_made(transport)
+            transport.abort()
+            return
+        super().connection_made(transport)
+        if self.client is not None:
+            held.accepted += 1
+            held.unused.add(self.client)
+            held.open_by_client[self.client] = self
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what runs for a sender that left."""
+        super().connection_lost(exc)
+        held = self.connections_held
+        if self.client is None:
+            return
+        held.open_by_client.pop(self.client, None)
+        held.unused.discard(self.client)
+        running = held.running_by_client.pop(self.client, None)
+        if running is not None:
+            running.cancel()
+
+
+class StandInServer:
+    """One listening port that can stop and resume listening."""
+
+    def __init__(
+        self, app: Any, ip: str, port: int, connections: Connections
+    ) -> None:
+        """Bind nothing yet."""
+        getLogger('uvicorn.error').disabled = True
+        self.ip = ip
+        self.port = port
+        self.connections = connections
+        self.config = Config(
+            app,
+            loop='none',
+            interface='asgi3',
+            http='httptools',
+            ws='none',
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            proxy_headers=False,
+            server_header=False,
+            date_header=False,
+        )
+        self.config.load()
+        self.state = ServerState()
+        self._listener: Server | None = None
+
+    async def open(self) -> None:
+        """Listen; the first call may pick the port."""
+        if self._listener is not None:
+            return
+        bound = socket(AF_INET, SOCK_STREAM)
+        bound.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        bound.bind((self.ip, self.port))
+        self.port = bound.getsockname()[1]
+        self._listener = await get_running_loop().create_server(
+            self._factory(), sock=bound, backlog=BACKLOG
+        )
+
+    async def refuse(self) -> None:
+        """Stop listening, so that new connections are refused."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    async def close(self) -> None:
+        """Stop listening and reset the open connections."""
+        await self.refuse()
+        self.connections.abort_all()
+
+    def _factory(self) -> Callable[[], LimitedProtocol]:
+        def create() -> LimitedProtocol:
+            protocol = LimitedProtocol(self.config, self.state, {})
+            protocol.connections_held = self.connections
+            return protocol
+
+        return create
