Run the path as separate processes and judge it under load

Cause: until now the path ran in one process, where neither a killed daemon nor a lost connection is real.

`bench/load.py` sends a seeded open load and checks each answer; the judges compare what callers heard with what the servers ran. A test kills one daemon midway.

Measurement: none asserted.

--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,278 @@
+"""A deployment as separate processes: platform, servers and daemons."""
+
+from asyncio import gather
+from base64 import b64encode
+from configparser import ConfigParser
+from http import HTTPStatus
+from json import dumps
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any, Final, Self
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+from msgspec.json import encode
+
+from bench.processes import IP, Child, NotReadyError, Ports, poll_until
+from bench.shapes import Shape
+
+READY_TIMEOUT_S: Final = 60
+CALL_TIMEOUT_S: Final = 5
+OPERATORS: Final = {
+    'ana': 'ana-token-0123456789',
+    'bruno': 'bruno-token-0123456789',
+}
+PREFIX: Final = 'bergamotshunt/targets/'
+SERVING: Final = 1
+
+
+class Host:
+    """A backend server and its daemon, each a process.
+
+    Attributes:
+        name: Name of the server and of its daemon.
+        service: Service of the server.
+        zone: Availability zone.
+        ports_by_kind: ``server``, ``control``, ``callers``, ``peers``,
+            ``admin`` and ``gossip``.
+    """
+
+    def __init__(
+        self, name: str, service: str, zone: str, ports: Ports
+    ) -> None:
+        """Reserve the ports; nothing is started."""
+        self.name = name
+        self.service = service
+        self.zone = zone
+        kinds = ('server', 'control', 'callers', 'peers', 'admin', 'gossip')
+        self.ports_by_kind = {kind: ports.reserve() for kind in kinds}
+        self.server: Child
+        self.daemon: Child
+
+    def url(self, kind: str) -> str:
+        """Return the base URL of one of its ports."""
+        return f'http://{IP}:{self.ports_by_kind[kind]}'
+
+
+class Fleet:
+    """All processes of a deployment.
+
+    Args:
+        shape: The deployment.
+        seed: Seed of the stand-ins.
+        settings: Settings by section that differ from the defaults.
+    """
+
+    def __init__(
+        self,
+        shape: Shape,
+        seed: int = 1,
+        settings: dict[str, dict[str, Any]] | None = None,
+    ) -> None:
+        """Plan the fleet; nothing is started."""
+        self.shape = shape
+        self.seed = seed
+        self.settings = settings or {}
+        self.ports = Ports()
+        self.platform_port = self.ports.reserve()
+        self.hosts = self.plan_hosts()
+        self.children: list[Child] = []
+        self.session: ClientSession
+
+    def plan_hosts(self) -> list[Host]:
+        """Plan the hosts; servers of a service take turns in the zones."""
+        zones = self.shape.zones
+        return [
+            Host(
+                f'{service}-{number + 1}',
+                service,
+                zones[number % len(zones)],
+                self.ports,
+            )
+            for service, count in self.shape.servers_by_service.items()
+            for number in range(count)
+        ]
+
+    async def __aenter__(self) -> Self:
+        """Start everything and wait until every daemon serves."""
+        self._folder = TemporaryDirectory(prefix='bergamotshunt-fleet-')
+        self.folder = Path(self._folder.name)
+        self.session = ClientSession(
+            timeout=ClientTimeout(total=CALL_TIMEOUT_S)
+        )
+        try:
+            await self.start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        """End all processes and remove the folder."""
+        await self.session.close()
+        await gather(*(child.end() for child in reversed(self.children)))
+        self.ports.close()
+        self._folder.cleanup()
+
+    async def start(self) -> None:
+        """Start platform and servers, put the targets, start daemons."""
+        self.platform = self.add_child(
+            'platform',
+            ['-m', 'bench.platform_process', str(self.platform_port)],
+        )
+        for number, host in enumerate(self.hosts):
+            host.server = self.add_child(
+                f'{host.name}-server', self.server_arguments(host, number)
+            )
+            path = self.write_settings(host)
+            host.daemon = self.add_child(
+                host.name, ['-m', 'bergamotshunt', 'daemon', str(path)]
+            )
+        await self.platform.start()
+        await gather(*(host.server.start() for host in self.hosts))
+        await self.wait_http(f'http://{IP}:{self.platform_port}/', 'platform')
+        for host in self.hosts:
+            await self.wait_http(f'{host.url("control")}/judge', host.name)
+        await self.put_targets()
+        await gather(*(host.daemon.start() for host in self.hosts))
+        await self.wait_ready()
+
+    def add_child(self, name: str, arguments: list[str]) -> Child:
+        """Plan a process that ends with the fleet."""
+        child = Child(name, arguments, self.folder)
+        self.children.append(child)
+        return child
+
+    def server_arguments(self, host: Host, number: int) -> list[str]:
+        """Return the arguments of a backend server stand-in."""
+        return [
+            '-m',
+            'standins.backend',
+            f'--name={host.name}',
+            f'--port={host.ports_by_kind["server"]}',
+            f'--control-port={host.ports_by_kind["control"]}',
+            f'--seed={self.seed * 1000 + number}',
+        ]
+
+    def describe_settings(self, host: Host) -> dict[str, dict[str, Any]]:
+        """Return the settings of one daemon by section."""
+        peers = (f'{IP}:{peer.ports_by_kind["peers"]}' for peer in self.hosts)
+        sections: dict[str, dict[str, Any]] = {
+            'daemon': {
+                'id': host.name,
+                'ip': IP,
+                'availability_zone': host.zone,
+                'known_peers': ', '.join(list(peers)[:3]),
+                'log_level': 'info',
+            },
+            'backend_server': {
+                'service': host.service,
+                'url': host.url('server'),
+            },
+            'platform': {'urls': f'http://{IP}:{self.platform_port}'},
+            'operators': OPERATORS,
+            'membership': {'sync_interval_s': 1},
+        }
+        for kind in ('callers', 'peers', 'admin', 'gossip'):
+            sections['daemon'][f'{kind}_port'] = host.ports_by_kind[kind]
+        for section, changes in self.settings.items():
+            sections.setdefault(section, {}).update(changes)
+        return sections
+
+    def write_settings(self, host: Host) -> Path:
+        """Write the INI file of one daemon."""
+        parser = ConfigParser(interpolation=None)
+        parser.read_dict(self.describe_settings(host))
+        path = self.folder / f'{host.name}.ini'
+        with path.open('w', encoding='utf-8') as file:
+            parser.write(file)
+        return path
+
+    async def put_targets(self) -> None:
+        """Put the targets into the platform in the keeper's format."""
+        for targets in self.shape.targets():
+            key = f'{PREFIX}{targets.service}'.encode()
+            put = {
+                'key': b64encode(key).decode(),
+                'value': b64encode(
+                    encode(targets._replace(revision=1))
+                ).decode(),
+            }
+            async with self.session.post(
+                f'http://{IP}:{self.platform_port}/v3/kv/txn',
+                json={'success': [{'request_put': put}]},
+            ) as response:
+                response.raise_for_status()
+
+    async def wait_http(self, url: str, what: str) -> None:
+        """Wait until something answers HTTP at a URL."""
+
+        async def check() -> bool:
+            try:
+                async with self.session.get(url):
+                    return True
+            except (ClientError, TimeoutError):
+                return False
+
+        await poll_until(check, READY_TIMEOUT_S, f'{what} did not answer')
+
+    async def wait_ready(self) -> None:
+        """Wait until every daemon knows all targets and all servers.
+
+        Raises:
+            NotReadyError: Not in time; with the log of a daemon that
+                ended.
+        """
+        try:
+            await gather(*(self.wait_host(host) for host in self.hosts))
+        except NotReadyError as error:
+            ended = [child for child in self.children if not child.is_running]
+            logs = '\n'.join(child.log_end() for child in ended)
+            raise NotReadyError(f'{error}\n{logs}') from None
+
+    async def wait_host(self, host: Host, servers: int = 0) -> None:
+        """Wait until one daemon routes to this many servers, or to all."""
+        wanted = servers or len(self.hosts)
+
+        async def check() -> bool:
+            status = await self.read_status(host)
+            if status is None:
+                return False
+            has_targets = status['targets']['revision'] > 0
+            return has_targets and count_serving(status) >= wanted
+
+        await poll_until(check, READY_TIMEOUT_S, f'{host.name} was not ready')
+
+    async def read_status(self, host: Host) -> dict[str, Any] | None:
+        """Read a daemon's status; None when it does not answer."""
+        url = f'{host.url("admin")}/v1/status'
+        token = OPERATORS['ana']
+        try:
+            async with self.session.get(
+                url, headers={'Authorization': f'Bearer {token}'}
+            ) as response:
+                if response.status != HTTPStatus.OK:
+                    return None
+                return dict(await response.json())
+        except (ClientError, TimeoutError, OSError):
+            return None
+
+    async def order(self, host: Host, path: str, document: Any = None) -> Any:
+        """Send an order to a backend server's control port."""
+        async with self.session.post(
+            f'{host.url("control")}{path}', data=dumps(document or {})
+        ) as response:
+            response.raise_for_status()
+            return await response.json()
+
+    async def judge(self, host: Host) -> dict[str, Any]:
+        """Read what a backend server counted."""
+        async with self.session.get(f'{host.url("control")}/judge') as response:
+            return dict(await response.json())
+
+
+def count_serving(status: dict[str, Any]) -> int:
+    """Count the members to which a daemon may send new work."""
+    return sum(
+        member['server_state'] == SERVING and member['status'] <= 1
+        for member in status['members']
+    )
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,220 @@
+"""Load tool: sends a plan at its times and checks each answer."""
+
+from asyncio import create_task, gather, get_running_loop, sleep
+from base64 import b64decode
+from collections.abc import Callable
+from hashlib import sha256
+from typing import Any, Final, NamedTuple
+
+from aiohttp import (
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+    DummyCookieJar,
+    TCPConnector,
+)
+from hdrh.histogram import HdrHistogram
+from uuid6 import uuid7
+
+from bench.plans import Call
+from bergamotshunt.headers import (
+    BOOKING_KEY,
+    CONTENT_DIGEST,
+    DEADLINE_MS,
+    INTERNAL,
+    REPLAYED,
+    REQUEST_ID,
+    SERVER,
+    VERDICT,
+)
+from standins.answers import OWN_REQUEST_ID
+from standins.backend import BOOKING_ID
+
+MAX_IN_FLIGHT: Final = 3000
+HIGHEST_US: Final = 120_000_000
+FIGURES: Final = 3
+US_PER_S: Final = 1_000_000
+# A call that gets no answer is given up after its deadline and this time.
+GRACE_S: Final = 1
+Route = Callable[[Call], str]
+
+
+class Outcome(NamedTuple):
+    """What the caller saw of one call.
+
+    Attributes:
+        call: The call.
+        latency_ms: From its planned arrival to the end of its answer.
+        status: HTTP status; 0 when there was no answer.
+        verdict: Verdict told, or empty.
+        whole: Whether length and digest of the body are right.
+        own: Whether the answer belongs to the call or its booking.
+        server: Server told in the answer.
+        detail: What went wrong.
+    """
+
+    call: Call
+    latency_ms: float
+    status: int
+    verdict: str = ''
+    whole: bool = True
+    own: bool = True
+    server: str = ''
+    detail: str = ''
+
+    @property
+    def answered(self) -> bool:
+        """Tell whether the caller got an answer of a backend server."""
+        return 200 <= self.status < 300
+
+    @property
+    def in_time(self) -> bool:
+        """Tell whether it was answered within the operators' target."""
+        wanted_ms = self.call.kind.answered_within_ms
+        return self.answered and self.latency_ms <= wanted_ms
+
+
+class Loader:
+    """Sends planned calls, without waiting for earlier ones.
+
+    Args:
+        route: Gives the base URL for a call, with the service.
+        on_end: Told of each call that ended.
+    """
+
+    def __init__(
+        self,
+        route: Route,
+        on_end: Callable[[Call], None] | None = None,
+    ) -> None:
+        """Create the tool; ``run`` sends."""
+        self.route = route
+        self.on_end = on_end
+        self.in_flight = 0
+        self.keys_by_booking: dict[str, str] = {}
+
+    async def run(self, calls: list[Call]) -> list[Outcome]:
+        """Send all calls at their times and wait for their outcomes."""
+        loop = get_running_loop()
+        self.session = ClientSession(
+            connector=TCPConnector(limit=0),
+            cookie_jar=DummyCookieJar(),
+            auto_decompress=False,
+        )
+        # A resent booking would be the load tool's own double run.
+        self.session._retry_connection = False
+        start = loop.time()
+        running = []
+        async with self.session:
+            for call in calls:
+                await sleep(max(0, start + call.at_s - loop.time()))
+                running.append(create_task(self.send(call, start)))
+            return list(await gather(*running))
+
+    async def send(self, call: Call, start: float) -> Outcome:
+        """Send one call and check its answer."""
+        loop = get_running_loop()
+        if self.in_flight >= MAX_IN_FLIGHT:
+            return Outcome(call, 0, 0, detail='not sent: too many in flight')
+        self.in_flight += 1
+        try:
+            outcome = await self.exchange(call)
+        except (ClientError, TimeoutError, OSError) as error:
+            detail = f'{type(error).__name__}: {error}'
+            outcome = Outcome(call, 0, 0, detail=detail)
+        finally:
+            self.in_flight -= 1
+            if self.on_end is not None:
+                self.on_end(call)
+        latency_ms = (loop.time() - start - call.at_s) * 1000
+        return outcome._replace(latency_ms=latency_ms)
+
+    async def exchange(self, call: Call) -> Outcome:
+        """Do the HTTP exchange of one call."""
+        timeout_s = call.kind.answered_within_ms * 3 / 1000 + GRACE_S
+        async with self.session.request(
+            call.kind.method,
+            self.route(call) + call.path,
+            headers=self.write_headers(call),
+            data=call.request_id.encode() if call.booking else None,
+            timeout=ClientTimeout(total=timeout_s),
+        ) as response:
+            body = await response.read()
+            headers = {
+                name.lower(): text for name, text in response.headers.items()
+            }
+            return check_answer(call, response.status, headers, body)
+
+    def write_headers(self, call: Call) -> dict[str, str]:
+        """Write the headers of a caller without a library."""
+        headers = {
+            REQUEST_ID: call.request_id,
+            DEADLINE_MS: str(call.kind.answered_within_ms * 3),
+        }
+        if call.kind.internal:
+            headers[INTERNAL] = '1'
+        if call.booking:
+            known = self.keys_by_booking.setdefault(call.booking, str(uuid7()))
+            headers[BOOKING_KEY] = known
+            headers[BOOKING_ID] = call.booking
+        return headers
+
+
+def check_answer(
+    call: Call, status: int, headers: dict[str, str], body: bytes
+) -> Outcome:
+    """Check wholeness and ownership of an answer."""
+    return Outcome(
+        call,
+        0,
+        status,
+        headers.get(VERDICT, ''),
+        is_whole(headers, body),
+        is_own(call, headers),
+        headers.get(SERVER, ''),
+    )
+
+
+def is_whole(headers: dict[str, str], body: bytes) -> bool:
+    """Tell whether a body has the length and digest that were told."""
+    length = headers.get('content-length')
+    if length is not None and int(length) != len(body):
+        return False
+    digest = headers.get(CONTENT_DIGEST, '')
+    told = digest.removeprefix('sha-256=:').removesuffix(':')
+    return not told or b64decode(told) == sha256(body).digest()
+
+
+def is_own(call: Call, headers: dict[str, str]) -> bool:
+    """Tell whether an answer belongs to a call.
+
+    A replayed answer belongs to the first call of the same booking.
+    """
+    if headers.get(REQUEST_ID) not in {None, call.request_id}:
+        return False
+    told = headers.get(OWN_REQUEST_ID, call.request_id)
+    if headers.get(REPLAYED):
+        return told.removesuffix('-again') == call.request_id.removesuffix(
+            '-again'
+        )
+    return told == call.request_id
+
+
+def create_histogram(outcomes: list[Outcome]) -> Any:
+    """Record the latencies of answered calls in microseconds."""
+    histogram = HdrHistogram(1, HIGHEST_US, FIGURES)
+    for outcome in outcomes:
+        if outcome.answered:
+            latency_us = int(outcome.latency_ms * 1000)
+            histogram.record_value(min(max(1, latency_us), HIGHEST_US))
+    return histogram
+
+
+def share_in_time(outcomes: list[Outcome]) -> float:
+    """Return the share of calls in time, weighted, without internal ones."""
+    counted = [
+        outcome for outcome in outcomes if not outcome.call.kind.internal
+    ]
+    wanted = sum(outcome.call.kind.weight for outcome in counted)
+    met = sum(o.call.kind.weight for o in counted if o.in_time)
+    return met / wanted if wanted else 1
--- /dev/null
+++ b/bench/plans.py
@@ -0,0 +1,88 @@
+"""Plans of calls: seeded Poisson arrivals of several kinds."""
+
+from random import Random
+from typing import Final, NamedTuple
+
+from bench.shapes import Shape
+from standins.kinds import Kind
+
+REPEAT_SHARE: Final = 0.03
+REPEAT_GAP_S: Final = 0.3
+IDS_IN_USE: Final = 5000
+
+
+class Call(NamedTuple):
+    """One planned call.
+
+    Attributes:
+        at_s: Time of arrival after the start.
+        kind: Kind of call.
+        path: Path below the service.
+        request_id: Its identity.
+        booking: Identity of its booking, or empty; a repeat has the one
+            of the first call.
+        entry: Random number that picks the daemon it is sent to.
+    """
+
+    at_s: float
+    kind: Kind
+    path: str
+    request_id: str
+    booking: str
+    entry: int
+
+
+def plan_calls(
+    shape: Shape,
+    seconds: float,
+    seed: int,
+    rate_by_kind: dict[str, float] | None = None,
+    repeat_share: float = REPEAT_SHARE,
+) -> list[Call]:
+    """Plan an open load.
+
+    Args:
+        shape: The deployment.
+        seconds: Length of the plan.
+        seed: Seed of arrivals, kinds and repeats.
+        rate_by_kind: Factor on the rate by name of the kind.
+        repeat_share: Share of bookings that are repeated.
+
+    Returns:
+        The calls in the order of their arrivals.
+    """
+    calls: list[Call] = []
+    for kind in shape.kinds():
+        factor = (rate_by_kind or {}).get(kind.name, 1)
+        rate = shape.calls_per_s * kind.share * factor
+        calls.extend(plan_kind(kind, rate, seconds, seed, repeat_share))
+    return sorted(calls, key=lambda call: call.at_s)
+
+
+def plan_kind(
+    kind: Kind, rate: float, seconds: float, seed: int, repeat_share: float
+) -> list[Call]:
+    """Plan the calls of one kind; some bookings are repeated."""
+    rng = Random(f'{seed} {kind.name}')
+    calls = []
+    at_s = rng.expovariate(rate)
+    while at_s < seconds:
+        number = rng.randrange(IDS_IN_USE)
+        name = f'{kind.name}-{seed}-{len(calls)}'
+        booking = f'booking-{name}' if kind.method == 'POST' else ''
+        path = f'{kind.path_prefix}/{number}'
+        call = Call(at_s, kind, path, name, booking, rng.randrange(1 << 20))
+        calls.append(call)
+        if booking and rng.random() < repeat_share:
+            calls.append(repeat_call(call, rng))
+        at_s += rng.expovariate(rate)
+    return calls
+
+
+def repeat_call(call: Call, rng: Random) -> Call:
+    """Plan a repeat of a booking, often at another daemon."""
+    return call._replace(
+        at_s=call.at_s + rng.random() * REPEAT_GAP_S,
+        request_id=f'{call.request_id}-again',
+        entry=rng.randrange(1 << 20),
+    )
--- /dev/null
+++ b/bench/shapes.py
@@ -0,0 +1,89 @@
+"""Shapes of the two deployments: services, servers, zones and targets."""
+
+from typing import Final, NamedTuple
+
+from bergamotshunt.targets import ServiceTargets, Target
+from standins.kinds import KINDS, Kind
+
+
+class Shape(NamedTuple):
+    """A deployment.
+
+    Attributes:
+        name: Name of the deployment.
+        servers_by_service: Number of backend servers of each service.
+        zones: Availability zones, in which servers take turns.
+        main_service: Service that the scenarios disturb.
+        surge_kind: Kind of call whose demand surges.
+        calls_per_s: Calls in a second of a quiet hour.
+    """
+
+    name: str
+    servers_by_service: dict[str, int]
+    zones: tuple[str, ...]
+    main_service: str
+    surge_kind: str
+    calls_per_s: float
+
+    def kinds(self) -> tuple[Kind, ...]:
+        """Return the kinds of call of this deployment."""
+        return tuple(
+            kind for kind in KINDS if kind.service in self.servers_by_service
+        )
+
+    def targets(self) -> tuple[ServiceTargets, ...]:
+        """Return the operators' targets for all services."""
+        return tuple(
+            ServiceTargets(
+                service,
+                tuple(
+                    create_target(kind)
+                    for kind in self.kinds()
+                    if kind.service == service
+                ),
+            )
+            for service in self.servers_by_service
+        )
+
+
+def create_target(kind: Kind) -> Target:
+    """Create the target that covers a kind of call."""
+    return Target(
+        kind.name,
+        (kind.method,),
+        kind.path_prefix,
+        idempotent=kind.method == 'GET',
+        answered_within_ms=kind.answered_within_ms,
+        weight=kind.weight,
+        internal=kind.internal,
+    )
+
+
+TINAJAS: Final = Shape(
+    'tinajas',
+    {'jar-ledger': 6, 'catalog': 3},
+    ('lima-a', 'lima-b', 'lima-c'),
+    'jar-ledger',
+    'pack',
+    300,
+)
+ASSINIBOINE: Final = Shape(
+    'assiniboine',
+    {'returns-desk': 7, 'assay-vault': 3},
+    ('annex-a', 'annex-b', 'annex-c'),
+    'returns-desk',
+    'certificate',
+    300,
+)
+# Smallest deployment in which a call can go to another server.
+SMALL: Final = Shape(
+    'small',
+    {'jar-ledger': 3},
+    ('lima-a', 'lima-b', 'lima-c'),
+    'jar-ledger',
+    'balance',
+    100,
+)
+SHAPES_BY_NAME: Final = {
+    shape.name: shape for shape in (TINAJAS, ASSINIBOINE, SMALL)
+}
--- /dev/null
+++ b/bergamotshunt/tests/test_processes.py
@@ -0,0 +1,72 @@
+"""The path as separate processes, with a daemon killed under load."""
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+from bench.fleet import Fleet
+from bench.judges import find_faults
+from bench.load import Loader, Outcome
+from bench.plans import Call, plan_calls
+from bench.shapes import SMALL
+from bench.processes import Child, poll_until
+
+SECONDS = 3
+SEED = 11
+
+
+async def load_and_kill() -> tuple[
+    list[Outcome], list[dict[str, Any]], list[Call]
+]:
+    calls = plan_calls(SMALL, SECONDS, SEED, {'refund': 2}, repeat_share=0)
+    ended: list[Call] = []
+    halfway = asyncio.Event()
+
+    def note_end(call: Call) -> None:
+        ended.append(call)
+        if len(ended) == len(calls) // 2:
+            halfway.set()
+
+    async with Fleet(SMALL, SEED) as fleet:
+        hosts = fleet.hosts
+
+        def route(call: Call) -> str:
+            host = hosts[call.entry % len(hosts)]
+            return f'{host.url("callers")}/{call.kind.service}'
+
+        loading = asyncio.create_task(Loader(route, note_end).run(calls))
+        await halfway.wait()
+        await hosts[1].daemon.kill()
+        third = len(calls) // 3
+        after = calls[-third:]
+        outcomes = await loading
+        judgements = [await fleet.judge(host) for host in hosts]
+    return outcomes, judgements, after
+
+
+def test_killed_daemon_breaks_no_property() -> None:
+    """Guards against lost, foreign, doubled or denied runs on a kill."""
+    outcomes, judgements, after = asyncio.run(load_and_kill())
+    assert find_faults(outcomes, judgements) == {}
+    answered = {o.call.request_id for o in outcomes if o.answered}
+    assert answered & {call.request_id for call in after}
+    assert any(not outcome.answered for outcome in outcomes)
+
+
+def test_child_ends_with_its_fleet(tmp_path: Path) -> None:
+    """Guards against processes that outlive the fleet that started them."""
+
+    async def walk() -> None:
+        loop = 'import signal; signal.signal(15, signal.SIG_IGN); print(1)'
+        child = Child('stuck', ['-uc', f'{loop}; signal.pause()'], tmp_path)
+        await child.start()
+
+        async def check() -> bool:
+            return child.log_path.stat().st_size > 0
+
+        await poll_until(check, 20, 'no output')
+        child.stop()
+        await child.kill()
+        assert not child.is_running
+
+    asyncio.run(walk())
