Start the platform stand-in's own process in the fleet

Cause: the fleet brought its own process for the platform stand-in, which now has one with faults by a control port. Ruled out: keeping both, as faults of the platform are needed for the fault matrix. Change: the fleet starts `python -m standins.platform`. Conclusion: platform faults can be set from the outside.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -74,6 +74,7 @@
         self.settings = settings or {}
         self.ports = Ports()
         self.platform_port = self.ports.reserve()
+        self.platform_control_port = self.ports.reserve()
         self.hosts = self.plan_hosts()
         self.children: list[Child] = []
         self.session: ClientSession
@@ -117,7 +118,12 @@
         """Start platform and servers, put the targets, start daemons."""
         self.platform = self.add_child(
             'platform',
-            ['-m', 'bench.platform_process', str(self.platform_port)],
+            [
+                '-m',
+                'standins.platform',
+                f'--port={self.platform_port}',
+                f'--control-port={self.platform_control_port}',
+            ],
         )
         for number, host in enumerate(self.hosts):
             host.server = self.add_child(
@@ -129,7 +135,9 @@
             )
         await self.platform.start()
         await gather(*(host.server.start() for host in self.hosts))
-        await self.wait_http(f'http://{IP}:{self.platform_port}/', 'platform')
+        await self.wait_http(
+            f'http://{IP}:{self.platform_control_port}/control', 'platform'
+        )
         for host in self.hosts:
             await self.wait_http(f'{host.url("control")}/judge', host.name)
         await self.put_targets()
--- a/bench/plans.py
+++ b/bench/plans.py
@@ -64,7 +64,7 @@
 ) -> list[Call]:
     """Plan the calls of one kind; some bookings are repeated."""
     rng = Random(f'{seed} {kind.name}')
-    calls = []
+    calls: list[Call] = []
     at_s = rng.expovariate(rate)
     while at_s < seconds:
         number = rng.randrange(IDS_IN_USE)
