Name the process in handover headers

Cause: a restarted daemon has an empty booking table, so a daemon id alone would let a repeat run a second time at the successor of a handover. Ruled out: a check by the successor of its own start time against the era of the ticket, which needs clocks that agree. Change: headers Bergamotshunt-Ticket and Bergamotshunt-Handover; successor and handover name processes as `<daemon id>.<process id>`, and the list ends with the receiver. Conclusion: the choosing side can send what the guard will require.

--- a/bergamotshunt/headers.py
+++ b/bergamotshunt/headers.py
@@ -12,11 +12,18 @@
 ATTEMPT: Final = 'bergamotshunt-attempt'
 INCARNATION: Final = 'bergamotshunt-incarnation'
 INTERNAL: Final = 'bergamotshunt-internal'
+# Ticket that the sender bound to the booking key.
+TICKET: Final = 'bergamotshunt-ticket'
+# Processes that a handed-over booking came through, with commas: the owner
+# of the ticket, then each SUCCESSOR value as it was received. The last one
+# is the process that the request is sent to.
+HANDOVER: Final = 'bergamotshunt-handover'
 BOOKING_KEY: Final = 'idempotency-key'
 VERDICT: Final = 'bergamotshunt-verdict'
 LOAD: Final = 'bergamotshunt-load'
 SERVER: Final = 'bergamotshunt-server'
 REPLAYED: Final = 'bergamotshunt-replayed'
+# Process (`<daemon id>.<process id>`) that took over a booking key.
 SUCCESSOR: Final = 'bergamotshunt-successor'
 CONTENT_DIGEST: Final = 'content-digest'
 CONTENT_LENGTH: Final = 'content-length'
--- a/bergamotshunt/verdicts.py
+++ b/bergamotshunt/verdicts.py
@@ -22,7 +22,8 @@
         reason: Short stable word for logs and metrics, such as ``shed``.
         detail: One sentence for the caller.
         retry_after_ms: When the sender may come back; 0 when not stated.
-        successor: Daemon id that took over the booking key, or empty.
+        successor: Process (`<daemon id>.<process id>`) that took over the
+            booking key, or empty.
     """
 
     verdict: Verdict
