--- /dev/null
+++ b/bergamotshunt/decisions/exchange.py
@@ -0,0 +1,112 @@
+"""Exchange: comparison of two member tables bucket by bucket.
+
+Two daemons send each other digests (about 3 KB) and then only the records
+of the buckets that differ, so that equal tables cost the same at any size.
+"""
+
+from collections.abc import Collection
+from typing import Final
+
+from bergamotshunt.decisions.hearing import hear_record
+from bergamotshunt.decisions.member_table import BUCKETS, MemberTable, bucket_of
+from bergamotshunt.decisions.membership import Membership
+from bergamotshunt.members import Member, is_newer
+from bergamotshunt.sync_documents import SyncReply, SyncRequest
+
+# About 350 KB of JSON, encoded in about a millisecond.
+MOST_RECORDS: Final = 2000
+
+
+def create_request(
+    members: Membership,
+    first_bucket: int = 0,
+    records: Collection[Member] = (),
+) -> SyncRequest:
+    """Return the request that compares tables or delivers records."""
+    return SyncRequest(
+        sender=members.own,
+        digests=[] if records else list(members.table.digests),
+        first_bucket=first_bucket,
+        members=list(records),
+    )
+
+
+def answer_request(
+    members: Membership,
+    request: SyncRequest,
+    now_ms: float,
+) -> SyncReply:
+    """Take in a peer's records and return what differs."""
+    sender = request['sender']
+    hear_record(members, sender, now_ms)
+    for record in request['members']:
+        hear_record(members, record, now_ms)
+    differing: list[int] = []
+    if len(request['digests']) == BUCKETS:
+        differing = [
+            bucket
+            for bucket in range(max(0, request['first_bucket']), BUCKETS)
+            if members.table.digests[bucket] != request['digests'][bucket]
+        ]
+    wanted, records = select(members.table, differing)
+    is_complete = len(wanted) == len(differing)
+    return SyncReply(
+        responder=members.own.daemon_id,
+        about_sender=members.table.by_id.get(sender.daemon_id),
+        members=records,
+        wanted=wanted,
+        next_bucket=BUCKETS if is_complete else differing[len(wanted)],
+    )
+
+
+def take_reply(
+    members: Membership,
+    reply: SyncReply,
+    now_ms: float,
+) -> list[Member]:
+    """Take in the answer; return the records that the peer lacks."""
+    if reply['about_sender'] is not None:
+        hear_record(members, reply['about_sender'], now_ms)
+    for record in reply['members']:
+        hear_record(members, record, now_ms)
+    members.settled = True
+    heard_by_id = {heard.daemon_id: heard for heard in reply['members']}
+    _buckets, candidates = select(members.table, reply['wanted'])
+    return [
+        candidate
+        for candidate in candidates
+        if is_lacking(candidate, heard_by_id.get(candidate.daemon_id))
+    ]
+
+
+def is_lacking(candidate: Member, heard: Member | None) -> bool:
+    """Tell whether a peer that sent ``heard`` should get the candidate."""
+    return heard is None or is_newer(candidate, heard)
+
+
+def select(
+    table: MemberTable,
+    buckets: Collection[int],
+) -> tuple[list[int], list[Member]]:
+    """Return the records of as many buckets as the bound allows.
+
+    Returns:
+        The buckets that are covered, and their records.
+    """
+    if not buckets:
+        return [], []
+    records_by_bucket: dict[int, list[Member]] = {
+        bucket: [] for bucket in buckets
+    }
+    for record in table.by_id.values():
+        held = records_by_bucket.get(bucket_of(record.daemon_id))
+        if held is not None:
+            held.append(record)
+    covered: list[int] = []
+    records: list[Member] = []
+    for bucket, found in records_by_bucket.items():
+        if covered and len(records) + len(found) > MOST_RECORDS:
+            break
+        covered.append(bucket)
+        records += found
+    return covered, records
--- /dev/null
+++ b/bergamotshunt/decisions/member_table.py
@@ -0,0 +1,128 @@
+"""Table of the known members, with digests for the comparison with peers."""
+
+from sys import intern
+from typing import Final
+
+from xxhash import xxh32_intdigest
+
+from bergamotshunt.members import Member, MemberStatus, is_live
+
+# At 7,200 members a bucket holds 28, so one difference costs 28 records.
+BUCKETS: Final = 256
+
+
+def bucket_of(daemon_id: str) -> int:
+    """Return the bucket of a daemon id."""
+    return xxh32_intdigest(daemon_id.encode()) % BUCKETS
+
+
+def digest_of(member: Member) -> int:
+    """Return a member's part of its bucket's digest.
+
+    Dead and left members have none: daemons forget them at different
+    times, which is no difference worth an exchange. A suspicion is
+    settled by gossip and does not count either.
+    """
+    if not is_live(member):
+        return 0
+    identity = f'{member.daemon_id}|{member.incarnation}|{member.process_id}'
+    return xxh32_intdigest(identity.encode())
+
+
+class MemberTable:
+    """Members by daemon id.
+
+    Attributes:
+        by_id: The records.
+        digests: For each bucket the combined digest of its live members.
+        live_count: Members that are alive or suspected.
+        gone_ms_by_id: When dead and left members were marked so.
+        changed: Ids that changed since the last publication.
+        changed_eras: Ids of which only the era changed since then.
+    """
+
+    def __init__(self) -> None:
+        """Create an empty table."""
+        self.by_id: dict[str, Member] = {}
+        self.digests = [0 for _bucket in range(BUCKETS)]
+        self.live_count = 0
+        self.gone_ms_by_id: dict[str, float] = {}
+        self.changed: set[str] = set()
+        self.changed_eras: set[str] = set()
+
+    def put(self, member: Member, now_ms: float) -> None:
+        """Store a record, whatever was known before."""
+        # A fleet shares few regions, zones and services; one string of
+        # each saves some 200 bytes a member.
+        member = member._replace(
+            region=intern(member.region),
+            availability_zone=intern(member.availability_zone),
+            service=intern(member.service),
+        )
+        self._uncount(member.daemon_id)
+        self.by_id[member.daemon_id] = member
+        self.digests[bucket_of(member.daemon_id)] ^= digest_of(member)
+        if is_live(member):
+            self.live_count += 1
+            self.gone_ms_by_id.pop(member.daemon_id, None)
+        else:
+            self.gone_ms_by_id[member.daemon_id] = now_ms
+        self.changed.add(member.daemon_id)
+
+    def put_era(self, daemon_id: str, era: int) -> None:
+        """Store a member's newer era."""
+        self.by_id[daemon_id] = self.by_id[daemon_id]._replace(era=era)
+        self.changed_eras.add(daemon_id)
+
+    def forget(self, daemon_id: str) -> None:
+        """Remove a record."""
+        self._uncount(daemon_id)
+        self.by_id.pop(daemon_id, None)
+        self.gone_ms_by_id.pop(daemon_id, None)
+        self.changed.add(daemon_id)
+
+    def forget_gone(
+        self,
+        now_ms: float,
+        kept_ms_by_status: dict[MemberStatus, float],
+    ) -> None:
+        """Remove dead and left members after the time they are kept."""
+        expired = [
+            daemon_id
+            for daemon_id, gone_ms in self.gone_ms_by_id.items()
+            if now_ms - gone_ms > kept_ms_by_status[self.status_of(daemon_id)]
+        ]
+        for daemon_id in expired:
+            self.forget(daemon_id)
+
+    def status_of(self, daemon_id: str) -> MemberStatus:
+        """Return the status of a known member."""
+        return self.by_id[daemon_id].status
+
+    def is_live(self, daemon_id: str) -> bool:
+        """Tell whether the id is known and counts as running."""
+        known = self.by_id.get(daemon_id)
+        return known is not None and is_live(known)
+
+    def dead_ids(self) -> list[str]:
+        """Return the members marked dead (not those that left)."""
+        return [
+            daemon_id
+            for daemon_id in self.gone_ms_by_id
+            if self.status_of(daemon_id) is MemberStatus.DEAD
+        ]
+
+    def take_changes(self) -> frozenset[str]:
+        """Return the ids changed since the last call."""
+        taken = frozenset(self.changed | self.changed_eras)
+        self.changed.clear()
+        self.changed_eras.clear()
+        return taken
+
+    def _uncount(self, daemon_id: str) -> None:
+        known = self.by_id.get(daemon_id)
+        if known is None:
+            return
+        self.digests[bucket_of(daemon_id)] ^= digest_of(known)
+        if is_live(known):
+            self.live_count -= 1
--- /dev/null
+++ b/bergamotshunt/member_sync.py
@@ -0,0 +1,148 @@
+"""Client of the exchange of member tables between two daemons."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+from msgspec import DecodeError
+from msgspec.json import Decoder, encode
+from returns.result import Failure, Success
+
+from bergamotshunt.decisions.exchange import (
+    MOST_RECORDS,
+    create_request,
+    take_reply,
+)
+from bergamotshunt.decisions.member_table import BUCKETS
+from bergamotshunt.decisions.membership import Membership
+from bergamotshunt.log import log_event
+from bergamotshunt.members import Member
+from bergamotshunt.sync_documents import SyncReply, SyncRequest
+from bergamotshunt.transport import HttpRequest, Sender
+
+SYNC_PATH: Final = '/bergamotshunt/sync'
+CONNECTIONS_PER_PEER: Final = 2
+TIMEOUT_MS: Final = 5000
+# Pages of records in one exchange; a full table of 7,200 takes four.
+MOST_PAGES: Final = 32
+# Members of a healed part of the fleet answer by hundreds; one exchange
+# brings the news of most of them.
+MEET_INTERVAL_MS: Final = 10_000
+RETRY_S: Final = 1
+LONGEST_RETRY_S: Final = 30
+REPLIES: Final = Decoder(SyncReply)
+
+
+class SyncClient:
+    """Exchanges the table of one daemon with peers.
+
+    Args:
+        members: What this daemon knows.
+        now_ms: Monotonic time.
+    """
+
+    def __init__(
+        self,
+        members: Membership,
+        now_ms: Callable[[], float],
+    ) -> None:
+        """Create the client; ``open`` creates its connections."""
+        self.members = members
+        self.now_ms = now_ms
+        self.met_ms = -float(MEET_INTERVAL_MS)
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def open(self) -> None:
+        """Create the session; a running event loop is needed."""
+        self.sender = Sender(CONNECTIONS_PER_PEER)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.sender.close()
+
+    def address_of(self, daemon_id: str) -> str:
+        """Return the peers port of a known member as ``IP:port``."""
+        member = self.members.table.by_id[daemon_id]
+        return f'{member.ip}:{member.peers_port}'
+
+    def may_meet(self, now_ms: float) -> bool:
+        """Tell whether to exchange tables with a member that woke up."""
+        if now_ms - self.met_ms < MEET_INTERVAL_MS:
+            return False
+        self.met_ms = now_ms
+        return True
+
+    def pause_s(self, attempt: int, interval_s: float, rng: Random) -> float:
+        """Return the time until the next exchange.
+
+        Args:
+            attempt: Exchanges that failed in a row.
+            interval_s: Time between exchanges that succeed.
+            rng: Random source; the jitter keeps daemons that started
+                together from asking the same peer together.
+        """
+        if attempt:
+            longest_s = min(LONGEST_RETRY_S, RETRY_S * 2**attempt)
+            return longest_s * rng.uniform(0.5, 1)
+        return interval_s * rng.uniform(0.5, 1.5)
+
+    async def synchronize_with(self, peer: str) -> str | None:
+        """Exchange tables with a peer (``IP:port``).
+
+        Returns:
+            The daemon id of the peer, or None when it did not answer.
+        """
+        bucket = 0
+        pages = 0
+        responder = None
+        while bucket < BUCKETS and pages < MOST_PAGES:
+            pages += 1
+            request = create_request(self.members, bucket)
+            reply = await self.post(peer, request)
+            if reply is None:
+                return None
+            await self.deliver(
+                peer,
+                take_reply(self.members, reply, self.now_ms()),
+            )
+            bucket = reply['next_bucket']
+            responder = reply['responder']
+        return responder
+
+    async def deliver(self, peer: str, records: list[Member]) -> None:
+        """Send the records that a peer lacks, in pages."""
+        while records:
+            page = records[:MOST_RECORDS]
+            records = records[MOST_RECORDS:]
+            await self.post(peer, create_request(self.members, records=page))
+
+    async def post(self, peer: str, request: SyncRequest) -> SyncReply | None:
+        """Send one request of an exchange."""
+        body = encode(request)
+        self.sent_bytes += len(body)
+        url = f'http://{peer}{SYNC_PATH}'
+        outcome = await self.sender.send(
+            HttpRequest('POST', url, {}, body, TIMEOUT_MS),
+        )
+        match outcome:
+            case Success(answer) if answer.status == 200:
+                self.received_bytes += len(answer.body)
+                return read_reply(answer.body, peer)
+            case Failure(failure):
+                log_event(
+                    'gossip:sync-failed',
+                    level='debug',
+                    peer=peer,
+                    detail=failure.detail,
+                )
+        return None
+
+
+def read_reply(body: bytes, peer: str) -> SyncReply | None:
+    """Decode a reply; None when it is malformed."""
+    try:
+        return REPLIES.decode(body)
+    except DecodeError as error:
+        log_event('gossip:sync-malformed', peer=peer, detail=str(error))
+        return None
--- a/bergamotshunt/members.py
+++ b/bergamotshunt/members.py
@@ -56,6 +56,77 @@
     era: int = 0
 
 
+class MemberEvent(NamedTuple):
+    """News of one member, as daemons pass it on.
+
+    Attributes:
+        daemon_id: The member.
+        incarnation: Incarnation that the news is about.
+        status: Status of the member in that incarnation.
+        accuser: Daemon that got no answer, for SUSPECT and DEAD.
+        record: The member's own record, for ALIVE and LEFT.
+    """
+
+    daemon_id: str
+    incarnation: int
+    status: MemberStatus
+    accuser: str = ''
+    record: Member | None = None
+
+
+class EraNews(NamedTuple):
+    """Booking era of one process.
+
+    An era only grows within a process, so it needs no new incarnation.
+    """
+
+    daemon_id: str
+    process_id: int
+    era: int
+
+
+def is_live(member: Member) -> bool:
+    """Tell whether the member's daemon counts as running."""
+    return member.status <= MemberStatus.SUSPECT
+
+
+def is_newer(candidate: Member, known: Member) -> bool:
+    """Tell whether a record takes the place of a known one.
+
+    The order is total, so all daemons settle on the same record. The
+    later fields matter only when two processes share a daemon id and
+    started in the same millisecond.
+    """
+    return order_key(candidate) > order_key(known)
+
+
+def order_key(member: Member) -> tuple[int, int, int, str, int]:
+    """Return what orders the records of one daemon id."""
+    return (
+        member.incarnation,
+        member.status,
+        member.process_id,
+        member.ip,
+        member.gossip_port,
+    )
+
+
+def create_event(member: Member, accuser: str = '') -> MemberEvent:
+    """Return the event that spreads a record.
+
+    A suspicion or death carries no record: the receiver holds it already
+    and storms of such events are three times smaller that way.
+    """
+    own_news = member.status in {MemberStatus.ALIVE, MemberStatus.LEFT}
+    return MemberEvent(
+        member.daemon_id,
+        member.incarnation,
+        member.status,
+        accuser,
+        member if own_news else None,
+    )
+
+
 def is_routable(member: Member) -> bool:
     """Tell whether new work may be sent to the member."""
     return (
--- a/bergamotshunt/messages.py
+++ b/bergamotshunt/messages.py
@@ -4,13 +4,20 @@
 
 from bergamotshunt.calls import LoadReport
 from bergamotshunt.members import Member, ServerState
+from bergamotshunt.sync_documents import SyncRequest
 from bergamotshunt.targets import Change, ServiceTargets, TargetSet
 
 
 class MembersChanged(NamedTuple):
-    """The members that this daemon knows, by daemon id."""
+    """The members that this daemon knows, by daemon id.
+
+    Attributes:
+        members_by_id: All members; nobody changes this mapping any more.
+        changed_ids: Members that changed or went since the last message.
+    """
 
     members_by_id: dict[str, Member]
+    changed_ids: frozenset[str] = frozenset()
 
 
 class TargetsChanged(NamedTuple):
@@ -92,10 +99,28 @@
     daemon_id: str
 
 
+class DaemonReplaced(NamedTuple):
+    """Whether another process holds this daemon's id.
+
+    Attributes:
+        replaced: True while this process must not serve.
+        detail: Which process holds the id, for the operator.
+    """
+
+    replaced: bool
+    detail: str
+
+
 class SyncMembers(NamedTuple):
-    """Question to gossip: merge a peer's members, reply with all."""
+    """Question to gossip: compare members; the reply is a ``SyncReply``."""
+
+    request: SyncRequest
+
+
+class SeedsLearned(NamedTuple):
+    """Peers ports (``IP:port``) from the seed lists in the platform."""
 
-    members: tuple[Member, ...]
+    peers: tuple[str, ...]
 
 
 class StoreGet(NamedTuple):
--- a/bergamotshunt/plugins/gossip.py
+++ b/bergamotshunt/plugins/gossip.py
@@ -1,31 +1,55 @@
-"""Gossip: the members that this daemon knows."""
+"""Gossip: the members of the fleet, by SWIM over UDP and HTTP exchanges."""
 
-from asyncio import sleep
-from typing import Any, Final
+from asyncio import Event, sleep, wait_for
+from collections.abc import Iterable
+from contextlib import suppress
+from typing import Final
 
-from msgspec.json import decode, encode
-from returns.result import Success
-
-from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Post, Task
+from bergamotshunt.datagrams import Datagram, Endpoint, Kind, Packet
+from bergamotshunt.decisions.answering import receive
+from bergamotshunt.decisions.load_queries import LoadQueries
+from bergamotshunt.decisions.membership import Membership, MembershipRules
+from bergamotshunt.decisions.swim import Swim
+from bergamotshunt.gossip_codec import (
+    OversizeError,
+    decode_datagram,
+    encode_datagram,
+    measure,
+)
+from bergamotshunt.kernel import (
+    PLUGINS,
+    Context,
+    HandlerTable,
+    NoHandlerError,
+    Task,
+)
+from bergamotshunt.log import log_error, log_event
+from bergamotshunt.member_sync import SyncClient
 from bergamotshunt.members import Member
 from bergamotshunt.messages import (
-    DescribeTask,
+    ConfirmationChanged,
+    DaemonReplaced,
+    DescribeLoad,
+    LoadHeard,
     MembersChanged,
+    PeerReached,
     PortBound,
-    ServerStateChanged,
-    SyncMembers,
+    RevisionHeard,
 )
-from bergamotshunt.peer_api import PEER_ENDPOINTS
-from bergamotshunt.transport import HttpRequest, Sender
+from bergamotshunt.udp import UdpPort
 
 HANDLERS: Final = HandlerTable()
-SYNC_PATH: Final = '/bergamotshunt/sync'
-CONNECTIONS_PER_PEER: Final = 2
-Members = tuple[Member, ...]
+MS_PER_S: Final = 1000
+# Consumers get a copy of the table at most this often; one event of a
+# member is published at once, a storm of them in batches.
+PUBLISH_INTERVAL_MS: Final = 50
+# Eras are accepted for an hour, so news of them can wait for a batch.
+ERA_PUBLISH_INTERVAL_MS: Final = 5000
+MOST_LOAD_ANSWERS: Final = 64
 
 
 class GossipTask(Task):
-    """Owns the known members."""
+    """Owns the known members and the gossip port."""
 
     name = 'gossip'
     handlers = HANDLERS
@@ -34,7 +58,8 @@
         """Create the task; this daemon is its first member."""
         super().__init__(context)
         daemon = context.settings.daemon
-        self.own = Member(
+        rules = context.settings.membership
+        own = Member(
             daemon_id=daemon.id,
             incarnation=context.process_id,
             ip=daemon.ip,
@@ -45,91 +70,239 @@
             service=context.settings.backend_server.service,
             process_id=context.process_id,
         )
-        self.members_by_id = {daemon.id: self.own}
+        self.members = Membership(
+            own,
+            MembershipRules(
+                rules.probe_interval_ms,
+                rules.probe_timeout_ms,
+                rules.suspicion_factor,
+            ),
+            measure,
+        )
+        self.swim = Swim(self.members, context.rng, self.now_ms())
+        self.queries = LoadQueries(rules.peer_probe_per_s)
+        self.load_answers = 0
+        self.published_ms = -float(ERA_PUBLISH_INTERVAL_MS)
+        self.replaced = False
+        self.reported_namesakes: set[str] = set()
+        self.seeds: tuple[str, ...] = ()
+        self.woken = Event()
+        self.udp = UdpPort(self.read_datagram, daemon.ip, daemon.gossip_port)
+        self.sync = SyncClient(self.members, self.now_ms)
 
     async def open(self) -> None:
-        """Create the connections to peers."""
-        self.sender = Sender(CONNECTIONS_PER_PEER)
+        """Bind the gossip port and create the connections to peers."""
+        self.sync.open()
+        await self.udp.open()
+        self.members.announce(self.now_ms(), gossip_port=self.udp.port)
+        self.post.publish(PortBound('gossip', self.udp.port))
 
     async def start(self) -> None:
-        """Start to synchronize with peers."""
-        self.spawn(self.synchronize())
+        """Start to probe and to synchronize."""
+        self.spawn(self.run_timers())
+        self.spawn(self.run_synchronization())
 
     async def close(self) -> None:
-        """Close the connections to peers."""
+        """Tell peers that this daemon leaves, and close."""
         await super().close()
-        await self.sender.close()
+        self.members.leave(self.now_ms())
+        self.send_packets(self.swim.composer.spread_at_once(self.now_ms()))
+        self.udp.close()
+        await self.sync.close()
+
+    # Timers.
+
+    async def run_timers(self) -> None:
+        """Probe and spread news, again and again."""
+        while True:
+            await sleep(self.swim.tick_ms / MS_PER_S)
+            try:
+                self.send_packets(self.swim.tick(self.now_ms()))
+                self.tell_changes()
+            except Exception as error:
+                # Without its timers a daemon would never notice a failure
+                # again, which is worse than one round that was lost.
+                log_error('gossip:round-failed', error)
 
-    async def synchronize(self) -> None:
-        """Exchange members with the known peers, again and again."""
+    async def run_synchronization(self) -> None:
+        """Join the fleet, then exchange tables again and again."""
+        attempt = 0
         while True:
-            for peer in self.settings.daemon.known_peers:
-                await self.synchronize_with(peer)
-            await sleep(self.settings.membership.sync_interval_s)
-
-    async def synchronize_with(self, peer: str) -> None:
-        """Exchange members with one peer (``IP:port``)."""
-        outcome = await self.sender.send(
-            HttpRequest(
-                'POST',
-                f'http://{peer}{SYNC_PATH}',
-                {},
-                encode(tuple(self.members_by_id.values())),
-                self.settings.platform.timeout_ms,
+            attempt = 0 if await self.synchronize() else attempt + 1
+            pause_s = self.sync.pause_s(
+                attempt,
+                self.settings.membership.sync_interval_s,
+                self.context.rng,
+            )
+            self.woken.clear()
+            with suppress(TimeoutError):
+                await wait_for(self.woken.wait(), pause_s)
+
+    async def synchronize(self) -> bool:
+        """Exchange tables with one peer.
+
+        Returns:
+            Whether a peer answered, or no other daemon is known at all.
+        """
+        daemon = self.settings.daemon
+        live = self.swim.composer.order.sample(
+            1,
+            self.swim.composer.is_peer,
+        )
+        peers = [self.sync.address_of(daemon_id) for daemon_id in live]
+        if not peers:
+            configured = [*daemon.known_peers, *self.seeds]
+            peers = [peer for peer in configured if not self.is_own(peer)]
+            self.context.rng.shuffle(peers)
+        for peer in peers:
+            if await self.synchronize_with(peer):
+                return True
+        return not peers
+
+    async def synchronize_with(self, peer: str) -> bool:
+        """Exchange tables with a peer (``IP:port``)."""
+        reached = await self.sync.synchronize_with(peer)
+        if reached is None:
+            return False
+        self.swim.composer.take_joined()
+        self.post.publish(PeerReached(reached))
+        self.tell_changes()
+        return True
+
+    def is_own(self, peer: str) -> bool:
+        """Tell whether ``IP:port`` is this daemon's own peers port."""
+        return peer == f'{self.members.own.ip}:{self.members.own.peers_port}'
+
+    # Datagrams.
+
+    def read_datagram(self, content: bytes, source: Endpoint) -> None:
+        """Take in a datagram from the network."""
+        datagram = decode_datagram(content)
+        if datagram is None:
+            self.udp.note_malformed()
+            return
+        now_ms = self.now_ms()
+        received = receive(self.swim, datagram, source, now_ms)
+        self.send_packets(received.packets)
+        self.post.publish(
+            RevisionHeard(
+                datagram.revision,
+                datagram.sender,
+                datagram.age_ms,
             ),
         )
-        match outcome:
-            case Success(answer):
-                self.merge(decode(answer.body, type=Members))
-
-    def merge(self, members: Members) -> None:
-        """Take over what is newer."""
-        for member in members:
-            known = self.members_by_id.get(member.daemon_id)
-            if known is None or member.incarnation > known.incarnation:
-                self.members_by_id[member.daemon_id] = member
-        self.post.publish(MembersChanged(dict(self.members_by_id)))
-
-    def replace_own(self, **fields: Any) -> None:
-        """Change the record of this daemon."""
-        newer = self.own.incarnation + 1
-        self.own = self.own._replace(incarnation=newer, **fields)
-        self.merge((self.own,))
-
-
-@HANDLERS.on(SyncMembers)
-def merge_from_peer(task: GossipTask, message: SyncMembers) -> Members:
-    """Merge the members of a peer."""
-    task.merge(message.members)
-    return tuple(task.members_by_id.values())
-
-
-@HANDLERS.on(PortBound)
-def note_port(task: GossipTask, message: PortBound) -> None:
-    """Announce a port of this daemon."""
-    if message.kind == 'peers':
-        task.replace_own(peers_port=message.port)
-
-
-@HANDLERS.on(ServerStateChanged)
-def note_server_state(task: GossipTask, message: ServerStateChanged) -> None:
-    """Announce the state of the local backend server."""
-    task.replace_own(server_state=message.server_state)
-
-
-@HANDLERS.on(DescribeTask)
-def describe(task: GossipTask, _message: DescribeTask) -> dict[str, Any]:
-    """Describe the members for the daemon's status."""
-    return {
-        'members': [member._asdict() for member in task.members_by_id.values()],
-    }
-
-
-@PEER_ENDPOINTS.register(SYNC_PATH)
-async def serve_sync(post: Post, body: bytes) -> bytes:
-    """Answer a peer's exchange of members."""
-    members = decode(body, type=Members)
-    return encode(await post.ask(SyncMembers(members)))
+        if received.reached:
+            self.post.publish(PeerReached(received.reached))
+        if received.awake and self.sync.may_meet(now_ms):
+            peer = self.sync.address_of(received.awake)
+            self.spawn(self.synchronize_with(peer))
+        if datagram.kind is Kind.LOAD_QUERY:
+            self.answer_query(datagram, source)
+        elif datagram.kind is Kind.LOAD_ANSWER:
+            self.take_load(datagram, now_ms)
+        self.tell_changes()
+
+    def send_packets(self, packets: Iterable[Packet]) -> None:
+        """Send datagrams."""
+        for packet in packets:
+            self.send_datagram(packet.endpoint, packet.datagram)
+
+    def send_datagram(self, endpoint: Endpoint, datagram: Datagram) -> None:
+        """Send a datagram; without its news if it became too large."""
+        try:
+            content = encode_datagram(datagram)
+        except OversizeError as error:
+            log_error('gossip:oversize', error, kind=datagram.kind.name)
+            content = encode_datagram(datagram._replace(events=(), eras=()))
+        self.udp.send(content, endpoint)
+
+    # Load.
+
+    def answer_query(self, query: Datagram, source: Endpoint) -> None:
+        """Answer a load query, unless too many are being answered."""
+        own_id = self.members.own.daemon_id
+        if query.target != own_id or self.load_answers >= MOST_LOAD_ANSWERS:
+            return
+        self.load_answers += 1
+        self.spawn(self.send_load(query.sequence, source))
+
+    async def send_load(self, sequence: int, source: Endpoint) -> None:
+        """Ask the guard for its load and send it."""
+        try:
+            report = await self.post.ask(DescribeLoad())
+        except (NoHandlerError, TimeoutError):
+            return
+        finally:
+            self.load_answers -= 1
+        answer = self.swim.composer.compose_plain(
+            Kind.LOAD_ANSWER,
+            self.now_ms(),
+            sequence,
+        )
+        self.send_datagram(source, answer._replace(load=report))
+
+    def take_load(self, answer: Datagram, now_ms: float) -> None:
+        """Publish the answer to a load query."""
+        age_ms = self.queries.take_answer(
+            answer.sequence,
+            answer.sender,
+            now_ms,
+        )
+        if age_ms is not None and answer.load is not None:
+            self.post.publish(LoadHeard(answer.sender, answer.load, age_ms))
+            self.post.publish(PeerReached(answer.sender))
+
+    # Other tasks.
+
+    def change_own(self, **fields: object) -> None:
+        """Change the record of this daemon and tell peers at once."""
+        self.members.announce(self.now_ms(), **fields)
+        self.send_packets(self.swim.composer.spread_at_once(self.now_ms()))
+        self.tell_changes()
+
+    def tell_changes(self) -> None:
+        """Publish what changed, and report what an operator must know."""
+        self.publish_members()
+        replaced_by = self.members.replaced_by
+        if self.replaced != (replaced_by is not None):
+            self.replaced = replaced_by is not None
+            self.report_replacement(replaced_by)
+        for daemon_id in self.swim.namesakes_by_id:
+            if daemon_id not in self.reported_namesakes:
+                self.reported_namesakes.add(daemon_id)
+                source, _heard_ms = self.swim.namesakes_by_id[daemon_id]
+                log_event(
+                    'gossip:duplicate-daemon-id',
+                    level='error',
+                    duplicate=daemon_id,
+                    older_process_at=f'{source[0]}:{source[1]}',
+                )
+
+    def publish_members(self) -> None:
+        """Publish the members if any changed."""
+        table = self.members.table
+        now_ms = self.now_ms()
+        waited_ms = now_ms - self.published_ms
+        is_due = bool(table.changed) and waited_ms >= PUBLISH_INTERVAL_MS
+        if table.changed_eras and waited_ms >= ERA_PUBLISH_INTERVAL_MS:
+            is_due = True
+        if is_due:
+            self.published_ms = now_ms
+            changed_ids = table.take_changes()
+            self.post.publish(MembersChanged(dict(table.by_id), changed_ids))
+
+    def report_replacement(self, holder: Member | None) -> None:
+        """Stop serving after a replacement, and serve again without it."""
+        detail = 'this process holds its daemon id again'
+        if holder is not None:
+            detail = (
+                f'process {holder.process_id} at {holder.ip}:'
+                f'{holder.peers_port} took over the daemon id '
+                f'{holder.daemon_id}; stop this process or change its id'
+            )
+            self.post.publish(ConfirmationChanged(False, detail))
+        self.post.publish(DaemonReplaced(holder is not None, detail))
+        log_event('gossip:replaced', level='error', detail=detail)
 
 
 @PLUGINS.register('gossip')
--- /dev/null
+++ b/bergamotshunt/plugins/gossip_handlers.py
@@ -0,0 +1,160 @@
+"""What other tasks and peers tell and ask the gossip task."""
+
+from collections import Counter
+from typing import Any, Final
+
+from msgspec.json import Decoder, encode
+
+from bergamotshunt.datagrams import Kind, endpoint_of
+from bergamotshunt.decisions.exchange import answer_request
+from bergamotshunt.decisions.membership import era_stride
+from bergamotshunt.kernel import Post
+from bergamotshunt.member_sync import SYNC_PATH
+from bergamotshunt.members import Member, MemberStatus, ServerState
+from bergamotshunt.messages import (
+    DescribeTask,
+    EraChanged,
+    PortBound,
+    QueryLoad,
+    RevisionInForce,
+    SeedsLearned,
+    ServerStateChanged,
+    SyncMembers,
+)
+from bergamotshunt.peer_api import PEER_ENDPOINTS
+from bergamotshunt.plugins.gossip import HANDLERS, GossipTask
+from bergamotshunt.sync_documents import SyncReply, SyncRequest
+
+REQUESTS: Final = Decoder(SyncRequest)
+# A status document of all 7,200 members would be about 2 MB.
+MOST_DESCRIBED: Final = 500
+
+
+@HANDLERS.on(SyncMembers)
+def merge_from_peer(task: GossipTask, message: SyncMembers) -> SyncReply:
+    """Compare tables with a peer."""
+    reply = answer_request(task.members, message.request, task.now_ms())
+    task.swim.composer.take_joined()
+    task.tell_changes()
+    if not task.members.settled:
+        # The peer may know an earlier process of this daemon's id.
+        task.woken.set()
+    return reply
+
+
+@HANDLERS.on(SeedsLearned)
+def note_seeds(task: GossipTask, message: SeedsLearned) -> None:
+    """Try peers from the seed lists, now if no other daemon is known."""
+    task.seeds = message.peers
+    known = {
+        task.sync.address_of(daemon_id)
+        for daemon_id, member in task.members.table.by_id.items()
+        if task.members.table.is_live(daemon_id)
+    }
+    strangers = [peer for peer in message.peers if peer not in known]
+    if len(known) == 1:
+        task.woken.set()
+    elif strangers:
+        # Parts of the fleet that started apart find each other here.
+        peer = task.context.rng.choice(strangers)
+        task.spawn(task.synchronize_with(peer))
+
+
+@HANDLERS.on(PortBound)
+def note_port(task: GossipTask, message: PortBound) -> None:
+    """Announce a port of this daemon."""
+    if message.kind == 'peers':
+        task.change_own(peers_port=message.port)
+
+
+@HANDLERS.on(ServerStateChanged)
+def note_server_state(task: GossipTask, message: ServerStateChanged) -> None:
+    """Announce the state of the local backend server."""
+    if message.server_state is not task.members.own.server_state:
+        task.change_own(server_state=message.server_state)
+
+
+@HANDLERS.on(EraChanged)
+def note_era(task: GossipTask, message: EraChanged) -> None:
+    """Announce the booking era of this daemon."""
+    bookings = task.settings.bookings
+    stride = era_stride(
+        task.members.table.live_count,
+        bookings.era_s,
+        bookings.eras_kept,
+    )
+    task.members.announce_era(message.era, stride)
+    task.tell_changes()
+
+
+@HANDLERS.on(RevisionInForce)
+def note_revision(task: GossipTask, message: RevisionInForce) -> None:
+    """Put the own targets revision on all datagrams."""
+    task.swim.composer.revision = message.revision
+    task.swim.composer.confirmed_ms = task.now_ms() - message.age_ms
+
+
+@HANDLERS.on(QueryLoad)
+def query_load(task: GossipTask, message: QueryLoad) -> None:
+    """Ask daemons for their load, within the rate of the settings."""
+    now_ms = task.now_ms()
+    peers = filter(task.swim.composer.is_peer, message.daemon_ids)
+    for daemon_id in task.queries.admit(peers, now_ms):
+        sequence = task.swim.composer.next_sequence()
+        task.queries.note_sent(sequence, daemon_id, now_ms)
+        query = task.swim.composer.compose_plain(
+            Kind.LOAD_QUERY,
+            now_ms,
+            sequence,
+            daemon_id,
+        )
+        member = task.members.table.by_id[daemon_id]
+        task.send_datagram(endpoint_of(member), query)
+
+
+@HANDLERS.on(DescribeTask)
+def describe(task: GossipTask, _message: DescribeTask) -> dict[str, Any]:
+    """Describe the members for the daemon's status."""
+    by_id = task.members.table.by_id
+    described = sorted(by_id.values(), key=is_ordinary)[:MOST_DESCRIBED]
+    replaced_by = task.members.replaced_by
+    now_ms = task.now_ms()
+    return {
+        'members': [member._asdict() for member in described],
+        'membership': {
+            'own': task.members.own._asdict(),
+            'count_by_status': Counter(
+                member.status.name for member in by_id.values()
+            ),
+            'health': task.members.health,
+            'replaced_by': replaced_by and replaced_by._asdict(),
+            'duplicate_ids': {
+                daemon_id: {
+                    'older_process_at': f'{source[0]}:{source[1]}',
+                    'seen_ms_ago': int(now_ms - seen_ms),
+                }
+                for daemon_id, (
+                    source,
+                    seen_ms,
+                ) in task.swim.namesakes_by_id.items()
+            },
+            'datagrams': task.udp.traffic._asdict(),
+            'sync_sent_bytes': task.sync.sent_bytes,
+            'sync_received_bytes': task.sync.received_bytes,
+        },
+    }
+
+
+def is_ordinary(member: Member) -> bool:
+    """Tell whether there is nothing to say about a member."""
+    return (
+        member.status is MemberStatus.ALIVE
+        and member.server_state is ServerState.SERVING
+    )
+
+
+@PEER_ENDPOINTS.register(SYNC_PATH)
+async def serve_sync(post: Post, body: bytes) -> bytes:
+    """Answer a peer's exchange of members."""
+    request = REQUESTS.decode(body)
+    return encode(await post.ask(SyncMembers(request)))
--- /dev/null
+++ b/bergamotshunt/tests/fleet.py
@@ -0,0 +1,205 @@
+"""A fleet of pure member states on a simulated network and clock."""
+
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from bergamotshunt.datagrams import Endpoint, Packet
+from bergamotshunt.decisions.answering import receive
+from bergamotshunt.decisions.exchange import (
+    answer_request,
+    create_request,
+    take_reply,
+)
+from bergamotshunt.decisions.member_table import BUCKETS
+from bergamotshunt.decisions.membership import Membership, MembershipRules
+from bergamotshunt.decisions.swim import Swim
+from bergamotshunt.gossip_codec import decode_datagram, encode_datagram, measure
+from bergamotshunt.members import Member, MemberStatus, ServerState, is_live
+
+RULES = MembershipRules(dead_contact_ms=5000)
+TICK_MS = 100
+SYNC_MS = 10_000
+
+
+class Node:
+    """One process: its state, and whether it runs."""
+
+    def __init__(
+        self, name: str, port: int, process_id: int, rng: Random, now_ms: float
+    ) -> None:
+        self.name = name
+        self.endpoint: Endpoint = ('10.0.0.1', port)
+        own = Member(
+            name,
+            process_id,
+            '10.0.0.1',
+            port,
+            port,
+            'r',
+            'z',
+            's',
+            ServerState.SERVING,
+            process_id=process_id,
+        )
+        self.members = Membership(own, RULES, measure)
+        self.swim = Swim(self.members, rng, now_ms)
+        self.paused = False
+        self.inbox: list[tuple[bytes, Endpoint]] = []
+
+    def status_of(self, name: str) -> MemberStatus | None:
+        known = self.members.table.by_id.get(name)
+        return known.status if known else None
+
+
+class Fleet:
+    """Processes, the network between them, and a clock."""
+
+    def __init__(self, seed: int, loss: float = 0) -> None:
+        self.rng = Random(seed)
+        self.now_ms = 0.0
+        self.loss = loss
+        self.delay_ms = 20.0
+        self.nodes: list[Node] = []
+        self.cut: set[frozenset[Endpoint]] = set()
+        self.events: list[tuple[float, int, Endpoint, Endpoint, bytes]] = []
+        self.order = count()
+        self.ports = count(1000)
+
+    def add(
+        self, name: str, known: Node | None = None, process_id: int = 0
+    ) -> Node:
+        node = Node(
+            name,
+            next(self.ports),
+            process_id or 1_000_000 + int(self.now_ms),
+            self.rng,
+            self.now_ms,
+        )
+        self.nodes.append(node)
+        if known is not None:
+            self.sync(node, known)
+        return node
+
+    def fill(self, size: int) -> None:
+        for number in range(size):
+            self.add(f'd{number}', self.nodes[0] if self.nodes else None)
+
+    def kill(self, node: Node) -> None:
+        self.nodes.remove(node)
+
+    def reachable(self, one: Endpoint, other: Endpoint) -> bool:
+        return frozenset((one, other)) not in self.cut
+
+    def separate(self, side: set[str]) -> None:
+        self.cut = {
+            frozenset((one.endpoint, other.endpoint))
+            for one in self.nodes
+            for other in self.nodes
+            if (one.name in side) != (other.name in side)
+        }
+
+    def sync(self, node: Node, peer: Node) -> bool:
+        if peer.paused or not self.reachable(node.endpoint, peer.endpoint):
+            return False
+        bucket = 0
+        while bucket < BUCKETS:
+            request = create_request(node.members, bucket)
+            reply = answer_request(peer.members, request, self.now_ms)
+            lacking = take_reply(node.members, reply, self.now_ms)
+            if lacking:
+                delivery = create_request(node.members, records=lacking)
+                answer_request(peer.members, delivery, self.now_ms)
+            bucket = reply['next_bucket']
+        node.swim.composer.take_joined()
+        peer.swim.composer.take_joined()
+        return True
+
+    def send(self, node: Node, packets: list[Packet]) -> None:
+        for packet in packets:
+            if self.rng.random() < self.loss:
+                continue
+            if not self.reachable(node.endpoint, packet.endpoint):
+                continue
+            content = encode_datagram(packet.datagram)
+            at_ms = self.now_ms + self.rng.uniform(0.5, self.delay_ms)
+            heappush(
+                self.events,
+                (
+                    at_ms,
+                    next(self.order),
+                    node.endpoint,
+                    packet.endpoint,
+                    content,
+                ),
+            )
+
+    def deliver(self, node: Node, content: bytes, source: Endpoint) -> None:
+        datagram = decode_datagram(content)
+        assert datagram is not None
+        received = receive(node.swim, datagram, source, self.now_ms)
+        self.send(node, list(received.packets))
+        if received.awake:
+            self.sync_with(node, received.awake)
+
+    def sync_with(self, node: Node, name: str) -> None:
+        record = node.members.table.by_id[name]
+        for peer in self.nodes:
+            if peer.endpoint == (record.ip, record.gossip_port):
+                self.sync(node, peer)
+
+    def step(self) -> None:
+        """Advance by one tick of all running processes."""
+        end_ms = self.now_ms + TICK_MS
+        while self.events and self.events[0][0] <= end_ms:
+            self.now_ms, _, source, target, content = heappop(self.events)
+            for node in tuple(self.nodes):
+                if node.endpoint == target and node.paused:
+                    node.inbox.append((content, source))
+                elif node.endpoint == target:
+                    self.deliver(node, content, source)
+        self.now_ms = end_ms
+        for node in tuple(self.nodes):
+            if not node.paused:
+                self.send(node, node.swim.tick(self.now_ms))
+                if self.rng.random() < TICK_MS / SYNC_MS:
+                    for name in node.swim.composer.order.sample(
+                        1, node.swim.composer.is_peer
+                    ):
+                        self.sync_with(node, name)
+
+    def run(self, duration_ms: float) -> None:
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.step()
+
+    def run_until_agreed(self, limit_ms: float) -> float:
+        """Run until all running processes agree; return the time it took."""
+        start_ms = self.now_ms
+        while not self.agreed():
+            assert self.now_ms - start_ms < limit_ms, self.describe()
+            self.step()
+        return self.now_ms - start_ms
+
+    def agreed(self) -> bool:
+        """Tell whether each holds exactly the records of all that run."""
+        running = {node.name: node.members.own for node in self.nodes}
+        return all(
+            running
+            == {
+                name: member
+                for name, member in node.members.table.by_id.items()
+                if is_live(member)
+            }
+            for node in self.nodes
+        )
+
+    def describe(self) -> str:
+        return '\n'.join(
+            f'{node.name} {node.members.own.incarnation}: '
+            + ' '.join(
+                f'{name}={member.status.name}/{member.incarnation}'
+                for name, member in sorted(node.members.table.by_id.items())
+            )
+            for node in self.nodes
+        )
--- /dev/null
+++ b/bergamotshunt/tests/test_membership.py
@@ -0,0 +1,360 @@
+"""Membership on a simulated network: detection, refutation, healing."""
+
+from random import Random
+
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+from hypothesis.strategies import floats, integers
+
+from bergamotshunt.decisions.hearing import hear, hear_record
+from bergamotshunt.decisions.membership import Membership
+from bergamotshunt.decisions.suspicion import SuspicionRules, wait_ms
+from bergamotshunt.gossip_codec import measure
+from bergamotshunt.members import (
+    Member,
+    MemberEvent,
+    MemberStatus,
+    ServerState,
+    create_event,
+)
+from bergamotshunt.tests.fleet import RULES, Fleet, Node
+
+FLEET_SIZE = 5
+
+
+def member(name: str, incarnation: int, **fields: object) -> Member:
+    return Member(
+        name,
+        incarnation,
+        '10.0.0.1',
+        1,
+        2,
+        'r',
+        'z',
+        's',
+        process_id=1,
+        **fields,  # type: ignore[arg-type]
+    )
+
+
+def membership() -> Membership:
+    members = Membership(member('own', 10), RULES, measure)
+    members.settled = True
+    return members
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Loss, reordering, cuts, pauses and restarts in any order."""
+
+    @initialize(seed=integers(0, 2**16), loss=floats(0, 0.3))
+    def start(self, seed: int, loss: float) -> None:
+        self.fleet = Fleet(seed, loss)
+        self.fleet.fill(FLEET_SIZE)
+        self.incarnations: dict[tuple[int, str], int] = {}
+
+    def pick(self, number: int) -> Node:
+        return self.fleet.nodes[number % len(self.fleet.nodes)]
+
+    @rule(seconds=integers(1, 20))
+    def run_some_time(self, seconds: int) -> None:
+        self.fleet.run(seconds * 1000)
+
+    @rule(delay_ms=floats(1, 600))
+    def change_delay(self, delay_ms: float) -> None:
+        self.fleet.delay_ms = delay_ms
+
+    @rule(bits=integers(1, 2**FLEET_SIZE - 2))
+    def cut(self, bits: int) -> None:
+        self.fleet.separate(
+            {f'd{number}' for number in range(FLEET_SIZE) if bits >> number & 1}
+        )
+
+    @rule(number=integers(0, FLEET_SIZE - 1))
+    def pause(self, number: int) -> None:
+        self.pick(number).paused = True
+
+    @rule(number=integers(0, FLEET_SIZE - 1))
+    def resume(self, number: int) -> None:
+        resume(self.fleet, self.pick(number))
+
+    @rule(number=integers(0, FLEET_SIZE - 1), clock_ms=integers(-60_000, 0))
+    def restart(self, number: int, clock_ms: int) -> None:
+        old = self.pick(number)
+        self.fleet.kill(old)
+        peers = [node for node in self.fleet.nodes if not node.paused]
+        process_id = 1_000_000 + int(self.fleet.now_ms) + clock_ms
+        self.fleet.add(old.name, peers[0] if peers else None, process_id)
+
+    @rule(number=integers(0, FLEET_SIZE - 1))
+    def drain(self, number: int) -> None:
+        node = self.pick(number)
+        if not node.paused:
+            node.members.announce(
+                self.fleet.now_ms, server_state=ServerState.DRAINING
+            )
+
+    @invariant()
+    def incarnations_never_fall(self) -> None:
+        for node in self.fleet.nodes if hasattr(self, 'fleet') else ():
+            for name, record in node.members.table.by_id.items():
+                key = (node.endpoint[1], name)
+                assert record.incarnation >= self.incarnations.get(key, 0)
+                self.incarnations[key] = record.incarnation
+
+    def teardown(self) -> None:
+        if not hasattr(self, 'fleet'):
+            return
+        fleet = self.fleet
+        fleet.cut = set()
+        fleet.loss = 0
+        fleet.delay_ms = 20
+        for node in fleet.nodes:
+            resume(fleet, node)
+        islands = [node for node in fleet.nodes if len(known_by(node)) == 1]
+        for node in islands:
+            # Its known peers were all paused when it started; the gossip
+            # task goes on trying them.
+            fleet.sync(node, fleet.nodes[0])
+            fleet.sync(node, fleet.nodes[-1])
+        fleet.run_until_agreed(600_000)
+        for node in fleet.nodes:
+            assert node.members.replaced_by is None
+
+
+def known_by(node: Node) -> dict[str, Member]:
+    return node.members.table.by_id
+
+
+def resume(fleet: Fleet, node: Node) -> None:
+    if not node.paused:
+        return
+    node.paused = False
+    # A woken process runs its timers or reads its socket first; the timers
+    # are the harder case.
+    fleet.send(node, node.swim.tick(fleet.now_ms))
+    waiting, node.inbox = node.inbox, []
+    for content, source in waiting:
+        fleet.deliver(node, content, source)
+
+
+TestFleet = FleetMachine.TestCase
+TestFleet.settings = settings(
+    max_examples=25, stateful_step_count=12, derandomize=True, deadline=None
+)
+
+
+def test_higher_incarnation_is_kept() -> None:
+    """Guards against old news that arrives late and wins."""
+    members = membership()
+    hear(members, create_event(member('a', 5)), 0)
+    for old in (
+        create_event(member('a', 4, status=MemberStatus.LEFT)),
+        MemberEvent('a', 4, MemberStatus.DEAD, 'b'),
+        MemberEvent('a', 4, MemberStatus.SUSPECT, 'b'),
+    ):
+        hear(members, old, 0)
+    assert members.table.by_id['a'] == member('a', 5)
+
+
+def test_accused_daemon_refutes() -> None:
+    """Guards against a running daemon that stays accused."""
+    members = membership()
+    accused = MemberEvent('own', 10, MemberStatus.DEAD, 'b')
+    hear(members, accused, 0)
+    assert members.own.incarnation == 11
+    assert members.events.by_id['own'].news.incarnation == 11
+    assert members.health == 1
+
+
+def test_death_in_a_table_exchange_leads_to_a_probe_only() -> None:
+    """Guards against one side of a healed cut killing the other."""
+    members = membership()
+    hear(members, create_event(member('a', 5)), 0)
+    hear_record(members, member('a', 5, status=MemberStatus.DEAD), 0)
+    assert members.table.by_id['a'].status is MemberStatus.ALIVE
+    assert list(members.doubts) == ['a']
+
+
+def test_restart_with_an_older_clock_takes_over() -> None:
+    """Guards against a restart that loses against its own past."""
+    fleet = Fleet(1)
+    fleet.fill(3)
+    old = fleet.nodes[2]
+    fleet.kill(old)
+    restarted = fleet.add('d2', fleet.nodes[0], process_id=5)
+    fleet.run_until_agreed(30_000)
+    assert restarted.members.replaced_by is None
+    assert restarted.members.own.incarnation > old.members.own.incarnation
+
+
+def test_woken_process_learns_that_it_was_replaced() -> None:
+    """Guards against a frozen process that serves beside its successor."""
+    fleet = Fleet(2)
+    fleet.fill(3)
+    fleet.run(5000)
+    frozen = fleet.nodes[2]
+    frozen.paused = True
+    fleet.run(20_000)
+    successor = fleet.add('d2', fleet.nodes[0])
+    fleet.run(5000)
+    resume(fleet, frozen)
+    fleet.run(5000)
+    replaced_by = frozen.members.replaced_by
+    assert replaced_by is not None
+    assert replaced_by.process_id == successor.members.own.process_id
+    others = (fleet.nodes[0], fleet.nodes[1], successor)
+    for node in others:
+        held = known_by(node)['d2']
+        assert held.process_id == successor.members.own.process_id
+    assert any('d2' in node.swim.namesakes_by_id for node in others)
+    fleet.kill(successor)
+    fleet.run_until_agreed(120_000)
+    assert frozen.members.replaced_by is None
+
+
+def test_paused_daemon_accuses_nobody() -> None:
+    """Guards against a woken daemon that counts its pause as silence."""
+    fleet = Fleet(3)
+    fleet.fill(6)
+    fleet.run(5000)
+    node = fleet.nodes[0]
+    node.paused = True
+    while not node.swim.probes_by_sequence:
+        node.paused = False
+        fleet.step()
+        node.paused = True
+    node.inbox.clear()
+    fleet.now_ms += 30_000
+    for other in fleet.nodes[1:]:
+        other.swim.last_tick_ms = fleet.now_ms
+    node.paused = False
+    fleet.send(node, node.swim.tick(fleet.now_ms))
+    assert not node.members.suspicions
+    assert node.members.health > 0
+
+
+def test_late_ticks_extend_the_wait_for_answers() -> None:
+    """Guards against a slow daemon that takes its own delay for silence."""
+    fleet = Fleet(4)
+    fleet.fill(2)
+    node = fleet.nodes[0]
+    now_ms = 0.0
+    while not node.swim.probes_by_sequence:
+        now_ms += 100
+        node.swim.tick(now_ms)
+    (before,) = node.swim.probes_by_sequence.values()
+    node.swim.tick(now_ms + 350)
+    (after,) = node.swim.probes_by_sequence.values()
+    assert after.deadline_ms == before.deadline_ms + 250
+
+
+def test_failed_member_is_found_and_others_are_not_accused() -> None:
+    """Guards against missed failures and against accusations by loss."""
+    fleet = Fleet(5, loss=0.05)
+    fleet.fill(12)
+    fleet.run(5000)
+    fleet.kill(fleet.nodes[7])
+    fleet.run_until_agreed(40_000)
+    assert fleet.nodes[0].status_of('d7') is MemberStatus.DEAD
+
+
+def test_healed_cut_merges() -> None:
+    """Guards against sides that hold each other for dead for good."""
+    fleet = Fleet(6)
+    fleet.fill(10)
+    fleet.run(5000)
+    fleet.separate({'d0', 'd1', 'd2', 'd3'})
+    fleet.run(180_000)
+    assert fleet.nodes[0].status_of('d9') is MemberStatus.DEAD
+    assert fleet.nodes[9].status_of('d0') is MemberStatus.DEAD
+    assert fleet.nodes[0].status_of('d1') is MemberStatus.ALIVE
+    fleet.cut = set()
+    fleet.run_until_agreed(60_000)
+
+
+def test_drain_is_known_at_once_without_any_round() -> None:
+    """Guards against a drain that waits for the next probe."""
+    fleet = Fleet(7)
+    fleet.fill(9)
+    fleet.run(5000)
+    node = fleet.nodes[4]
+    node.members.announce(fleet.now_ms, server_state=ServerState.DRAINING)
+    fleet.send(node, node.swim.composer.spread_at_once(fleet.now_ms))
+    fleet.run(100)
+    states = [known_by(peer)['d4'].server_state for peer in fleet.nodes]
+    assert states == [ServerState.DRAINING] * 9
+
+
+def test_member_that_left_is_not_accused() -> None:
+    """Guards against a graceful leave that looks like a failure."""
+    fleet = Fleet(8)
+    fleet.fill(5)
+    fleet.run(3000)
+    node = fleet.nodes[4]
+    node.members.leave(fleet.now_ms)
+    fleet.send(node, node.swim.composer.spread_at_once(fleet.now_ms))
+    fleet.kill(node)
+    fleet.run(60_000)
+    for peer in fleet.nodes:
+        assert peer.status_of('d4') is MemberStatus.LEFT
+    fleet.run(RULES.left_kept_ms + 10_000)
+    assert 'd4' not in known_by(fleet.nodes[0])
+
+
+def test_wait_grows_with_the_fleet_and_shrinks_with_accusers() -> None:
+    """Guards against a wait that is too short for news to travel."""
+    small = SuspicionRules(4, 1000, 10)
+    large = SuspicionRules(4, 1000, 7200)
+    assert wait_ms(large, 1) > wait_ms(small, 1)
+    waits = [wait_ms(large, accusers) for accusers in (1, 2, 3, 4, 5)]
+    assert waits == sorted(waits, reverse=True)
+    assert waits[3] == waits[4] == wait_ms(large, 1) / 3
+    assert wait_ms(SuspicionRules(4, 1000, 2), 1) == 4000
+
+
+def test_eras_spread_without_a_new_incarnation() -> None:
+    """Guards against tickets that name an era that is long over."""
+    fleet = Fleet(9)
+    fleet.fill(6)
+    fleet.run(3000)
+    incarnation = fleet.nodes[0].members.own.incarnation
+    fleet.nodes[0].members.announce_era(3)
+    fleet.run(10_000)
+    for node in fleet.nodes:
+        held = known_by(node)['d0']
+        assert (held.era, held.incarnation) == (3, incarnation)
+
+
+def test_news_is_sent_a_bounded_number_of_times() -> None:
+    """Guards against news that circulates for good."""
+    members = membership()
+    hear(members, create_event(member('a', 5)), 0)
+    rounds = 0
+    while members.events.by_id:
+        members.events.take(900, 100)
+        rounds += 1
+    assert rounds == members.events.limit(100) == 9
+
+
+def test_random_tables_settle_in_any_order() -> None:
+    """Guards against tables that depend on the order of arrival."""
+    rng = Random(10)
+    events = [
+        create_event(member('a', rng.randint(1, 4), status=status))
+        for status in (MemberStatus.ALIVE, MemberStatus.LEFT)
+        for _ in range(6)
+    ]
+    held = set()
+    for _ in range(20):
+        rng.shuffle(events)
+        members = membership()
+        hear(members, create_event(member('a', 1)), 0)
+        for event in events:
+            hear(members, event, 0)
+        held.add(members.table.by_id['a'])
+    assert len(held) == 1
--- /dev/null
+++ b/bergamotshunt/udp.py
@@ -0,0 +1,91 @@
+"""UDP port of a task: datagrams in and out, counted."""
+
+from asyncio import DatagramProtocol, DatagramTransport, get_running_loop
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from bergamotshunt.datagrams import Endpoint
+
+DatagramReader = Callable[[bytes, Endpoint], None]
+
+
+class Traffic(NamedTuple):
+    """Datagrams and bytes since the start, without IP and UDP headers."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    malformed: int = 0
+    failed: int = 0
+
+
+class _Protocol(DatagramProtocol):
+    """Hands datagrams to a reader."""
+
+    def __init__(self, reader: DatagramReader) -> None:
+        self.reader = reader
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.reader(data, (addr[0], addr[1]))
+
+
+class UdpPort:
+    """One UDP port.
+
+    Args:
+        reader: Called for each datagram with its content and source.
+        ip: IP number to bind.
+        port: UDP port; 0 asks the operating system for one.
+    """
+
+    def __init__(self, reader: DatagramReader, ip: str, port: int) -> None:
+        """Create the port; ``open`` binds it."""
+        self.reader = reader
+        self.ip = ip
+        self.port = port
+        self.traffic = Traffic()
+        self._transport: DatagramTransport | None = None
+
+    async def open(self) -> None:
+        """Bind the port."""
+        loop = get_running_loop()
+        endpoint = await loop.create_datagram_endpoint(
+            lambda: _Protocol(self._read),
+            local_addr=(self.ip, self.port),
+        )
+        self._transport = endpoint[0]
+        self.port = self._transport.get_extra_info('sockname')[1]
+
+    def send(self, content: bytes, endpoint: Endpoint) -> None:
+        """Send a datagram; it may be lost."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        traffic = self.traffic
+        try:
+            self._transport.sendto(content, endpoint)
+        except (OSError, ValueError):
+            # An address of a peer that cannot be used, such as port 0.
+            self.traffic = traffic._replace(failed=traffic.failed + 1)
+            return
+        self.traffic = traffic._replace(
+            sent=traffic.sent + 1,
+            sent_bytes=traffic.sent_bytes + len(content),
+        )
+
+    def note_malformed(self) -> None:
+        """Count a datagram that could not be decoded."""
+        malformed = self.traffic.malformed + 1
+        self.traffic = self.traffic._replace(malformed=malformed)
+
+    def close(self) -> None:
+        """Close the port after what is buffered was sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _read(self, content: bytes, source: Endpoint) -> None:
+        self.traffic = self.traffic._replace(
+            received=self.traffic.received + 1,
+            received_bytes=self.traffic.received_bytes + len(content),
+        )
+        self.reader(content, source)
