Bound the calls to the platform and state exactly whether a write may have run

Cause: the store task used one URL without a bound on its rate, reported every failure as "may have run", knew no leases or watches, and a lost compare did not tell what was there. Ruled out: a lease for each key (one platform write a key), and resending a write at the next URL after a lost answer (it can run twice, and the asker compares a revision on its own retry anyway). A stale answer is recognised by its header revision, compared with the newest one known when the call was sent, because answers to concurrent calls may arrive out of order. Conclusion: nothing in the data path waits for a platform that is down, and askers know whether a write may have taken effect.

--- /dev/null
+++ b/bergamotshunt/decisions/platform_access.py
@@ -0,0 +1,91 @@
+"""When the daemon may call the platform: call rate and circuit breaker."""
+
+from random import Random
+from typing import Final, NamedTuple
+
+# One lost answer alone does not open the circuit; an outage loses all.
+TOLERATED_FAILURES: Final = 1
+FIRST_PAUSE_MS: Final = 100
+# Bounds the time until a daemon notices that the platform is back.
+LONGEST_PAUSE_MS: Final = 5000
+LARGEST_EXPONENT: Final = 10
+MS_PER_S: Final = 1000
+
+
+class CallRate(NamedTuple):
+    """Token bucket of the calls to the platform.
+
+    Attributes:
+        tokens: Calls that may be sent now; negative when calls wait.
+        updated_ms: When ``tokens`` was computed.
+    """
+
+    tokens: float
+    updated_ms: float
+
+
+def reserve_call(
+    rate: CallRate,
+    calls_per_s: float,
+    longest_wait_ms: float,
+    now_ms: float,
+) -> tuple[CallRate, float | None]:
+    """Take one token, if necessary in advance.
+
+    Returns:
+        The new bucket, and the time in ms to wait before the call; None
+        when the wait would be too long and no token was taken.
+    """
+    refilled = (now_ms - rate.updated_ms) * calls_per_s / MS_PER_S
+    tokens = min(calls_per_s, rate.tokens + refilled)
+    wait_ms = max(0, (1 - tokens) * MS_PER_S / calls_per_s)
+    if wait_ms > longest_wait_ms:
+        return CallRate(tokens, now_ms), None
+    return CallRate(tokens - 1, now_ms), wait_ms
+
+
+class Circuit(NamedTuple):
+    """Circuit breaker; open while calls fail at once.
+
+    Attributes:
+        failures: Calls that failed since the last one that succeeded.
+        closed_after_ms: Until when calls fail at once.
+    """
+
+    failures: int = 0
+    closed_after_ms: float = 0
+
+
+def admit_call(
+    circuit: Circuit,
+    trial_ms: float,
+    now_ms: float,
+) -> tuple[Circuit, bool]:
+    """Tell whether a call may be sent.
+
+    After a pause a single call is sent as a trial; until it ends, at most
+    ``trial_ms``, further calls fail at once.
+
+    Returns:
+        The new state, and whether the call may be sent.
+    """
+    if circuit.failures <= TOLERATED_FAILURES:
+        return circuit, True
+    if now_ms < circuit.closed_after_ms:
+        return circuit, False
+    return circuit._replace(closed_after_ms=now_ms + trial_ms), True
+
+
+def note_failed_call(
+    circuit: Circuit,
+    rng: Random,
+    now_ms: float,
+) -> Circuit:
+    """Count a failure; pauses grow exponentially, with jitter."""
+    failures = circuit.failures + 1
+    exponent = min(failures - TOLERATED_FAILURES - 1, LARGEST_EXPONENT)
+    if exponent < 0:
+        return Circuit(failures, 0)
+    longest_ms = min(FIRST_PAUSE_MS * 2**exponent, LONGEST_PAUSE_MS)
+    pause_ms = rng.uniform(longest_ms / 2, longest_ms)
+    return Circuit(failures, now_ms + pause_ms)
--- a/bergamotshunt/messages.py
+++ b/bergamotshunt/messages.py
@@ -133,6 +133,8 @@
 class StoreCommit(NamedTuple):
     """Question to the store: write all puts if all revisions still hold.
 
+    The reply is a ``Result[StoreCommitted, StoreFailure]``.
+
     Attributes:
         expected: Pairs of key and mod_revision; 0 means absent.
         puts: Keys to write.
@@ -144,9 +146,27 @@
     deletes: tuple[str, ...] = ()
 
 
+class StoreCommitted(NamedTuple):
+    """The platform decided a commit; see ``StoreFailure`` for unknown.
+
+    Attributes:
+        won: Whether all revisions held and the puts are written.
+        revision: The store's revision after the commit.
+        present: When lost, the entries of the expected keys that are
+            there now; absent keys are left out.
+    """
+
+    won: bool
+    revision: int
+    present: tuple[StoreEntry, ...] = ()
+
+
 class StoreWatch(NamedTuple):
     """Question to the store: wait until a key passes a revision.
 
+    The reply is a ``Result[StoreEntry | None, StoreFailure]``; a deletion
+    is an entry without content.
+
     Attributes:
         key: Key to wait for.
         after_revision: Return once its mod_revision is larger.
--- /dev/null
+++ b/bergamotshunt/platform_connection.py
@@ -0,0 +1,205 @@
+"""HTTP connections of the store task to the URLs of the platform."""
+
+from asyncio import get_running_loop, timeout_at, wait_for
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+from typing import Any, Final, NamedTuple
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+    TCPConnector,
+)
+from msgspec.json import decode, encode
+from returns.result import Failure, Result, Success
+
+from bergamotshunt.messages import StoreFailure
+from bergamotshunt.settings import PlatformSettings
+from bergamotshunt.store_codec import read_revision
+
+MS_PER_S: Final = 1000
+CONNECTIONS_PER_URL: Final = 16
+CONTENT_TYPE: Final = {'content-type': 'application/json'}
+NOT_SENT: Final = (ClientConnectorError, ConnectionTimeoutError)
+LOST: Final = (ClientError, TimeoutError, OSError, ValueError)
+
+
+class PlatformError(NamedTuple):
+    """A call that did not get its answer.
+
+    Attributes:
+        failure: For the asker.
+        answered: Whether the platform refused the call itself, so that it
+            is not down.
+        code: gRPC code of the refusal, or 0.
+    """
+
+    failure: StoreFailure
+    answered: bool = False
+    code: int = 0
+
+
+Answered = Result[dict[str, Any], PlatformError]
+
+
+class PlatformConnection:
+    """Connections to all URLs of the platform; uses one until it fails.
+
+    Args:
+        settings: Section ``platform``.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        """Create the session; a running event loop is needed."""
+        self._settings = settings
+        self._index = 0
+        self._newest_revision = 0
+        self._session = ClientSession(
+            connector=TCPConnector(limit_per_host=CONNECTIONS_PER_URL),
+            headers=CONTENT_TYPE,
+        )
+        # aiohttp would resend a call on a kept connection that was closed.
+        self._session._retry_connection = False
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def call(
+        self,
+        path: str,
+        body: dict[str, Any],
+        writes: bool,
+    ) -> Answered:
+        """Send a call; try the next URL while that cannot run it twice.
+
+        Args:
+            path: Path of the protocol.
+            body: Request document.
+            writes: Whether the call changes the platform's data.
+        """
+        timeout_s = self._settings.timeout_ms / MS_PER_S
+        deadline_s = get_running_loop().time() + timeout_s
+        outcome: Answered = Failure(
+            PlatformError(StoreFailure(False, 'no URL of the platform')),
+        )
+        for _ in self._settings.urls:
+            outcome = await self._call_url(path, body, writes, deadline_s)
+            if not self._may_try_next(outcome):
+                break
+            self._index += 1
+        return outcome
+
+    async def watch(self, path: str, body: Any) -> AsyncIterator[Any]:
+        """Start a watch and yield its messages, as long as it lasts.
+
+        Raises:
+            aiohttp.ClientError: The connection failed or was lost.
+            ConnectionError: The platform did not start the watch in time.
+        """
+        timeout_s = self._settings.timeout_ms / MS_PER_S
+        try:
+            response = await wait_for(self._start_watch(path, body), timeout_s)
+        except TimeoutError as error:
+            raise ConnectionError('the watch did not start') from error
+        try:
+            async for line in response.content:
+                yield decode(line).get('result', {})
+        finally:
+            response.close()
+
+    def use_next_url(self) -> None:
+        """Use the next URL from now on."""
+        self._index += 1
+
+    def _url(self, path: str) -> str:
+        urls = self._settings.urls
+        return urls[self._index % len(urls)] + path
+
+    def _may_try_next(self, outcome: Answered) -> bool:
+        match outcome:
+            case Failure(error):
+                return not (error.answered or error.failure.may_have_run)
+        return False
+
+    async def _call_url(
+        self,
+        path: str,
+        body: dict[str, Any],
+        writes: bool,
+        deadline_s: float,
+    ) -> Answered:
+        newest_before = self._newest_revision
+        try:
+            async with timeout_at(deadline_s):
+                status, document = await self._exchange(path, body)
+        except NOT_SENT as error:
+            return lose(str(error), may_have_run=False)
+        except LOST as error:
+            # A read that got no answer changed nothing.
+            return lose(f'{type(error).__name__}: {error}', writes)
+        if status != HTTPStatus.OK:
+            return read_refusal(status, document, writes)
+        revision = read_revision(document)
+        self._newest_revision = max(self._newest_revision, revision)
+        if not writes and 0 < revision < newest_before:
+            # A replica that lags behind; its data may be superseded.
+            return lose('the platform answered with stale data', False)
+        return Success(document)
+
+    async def _start_watch(self, path: str, body: Any) -> ClientResponse:
+        response = await self._session.post(
+            self._url(path),
+            data=encode(body),
+            timeout=ClientTimeout(total=None),
+        )
+        response.raise_for_status()
+        return response
+
+    async def _exchange(
+        self,
+        path: str,
+        body: dict[str, Any],
+    ) -> tuple[int, dict[str, Any]]:
+        async with self._session.post(
+            self._url(path),
+            data=encode(body),
+            allow_redirects=False,
+        ) as response:
+            content = await response.read()
+            if response.status == HTTPStatus.OK or content.startswith(b'{'):
+                return response.status, decode(content, type=dict[str, Any])
+            return response.status, {}
+
+
+def lose(detail: str, may_have_run: bool) -> Answered:
+    """Build the outcome of a call without a usable answer."""
+    return Failure(PlatformError(StoreFailure(may_have_run, detail)))
+
+
+def read_refusal(
+    status: int,
+    document: dict[str, Any],
+    writes: bool,
+) -> Answered:
+    """Build the outcome of a call that got an error status.
+
+    Status 4xx states that the call was refused; with 5xx a write may have
+    been applied before the error occurred.
+    """
+    told = document.get('message', document.get('error', ''))
+    failed = status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    return Failure(
+        PlatformError(
+            StoreFailure(
+                may_have_run=writes and failed,
+                detail=f'the platform answered with status {status}: {told}',
+            ),
+            answered=not failed and status != HTTPStatus.TOO_MANY_REQUESTS,
+            code=int(document.get('code', 0)),
+        ),
+    )
--- a/bergamotshunt/plugins/store.py
+++ b/bergamotshunt/plugins/store.py
@@ -1,25 +1,58 @@
 """Store: client of the platform's key-value service.
 
-Speaks the JSON gateway of the etcd v3 protocol: ``/v3/kv/range`` and
-``/v3/kv/txn`` with base64 keys and values.
+All calls of the daemon to the platform pass through this task, which
+bounds their rate and fails them at once while the platform is down.
 """
 
-from base64 import b64decode, b64encode
+from asyncio import Task as AsyncioTask
+from asyncio import shield, sleep, timeout
 from typing import Any, Final
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError
 from returns.result import Failure, Result, Success
 
+from bergamotshunt.decisions.platform_access import (
+    CallRate,
+    Circuit,
+    admit_call,
+    note_failed_call,
+    reserve_call,
+)
 from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
 from bergamotshunt.messages import (
+    DescribeTask,
     StoreCommit,
+    StoreCommitted,
     StoreEntry,
     StoreFailure,
     StoreGet,
+    StoreWatch,
+)
+from bergamotshunt.metrics import PLATFORM_CALLS
+from bergamotshunt.platform_connection import (
+    Answered,
+    PlatformConnection,
+    PlatformError,
+    lose,
+)
+from bergamotshunt.store_codec import (
+    GRANT_PATH,
+    NOT_FOUND_CODE,
+    RANGE_PATH,
+    TXN_PATH,
+    WATCH_PATH,
+    StoreCodec,
+    read_revision,
 )
 
 HANDLERS: Final = HandlerTable()
 MS_PER_S: Final = 1000
+# All keys with the same time to live that are written within an hour share
+# one lease, so that leases cost one grant an hour.
+LEASE_SHARED_S: Final = 3600
+
+LeaseKey = tuple[int, int]
+Watched = Result[StoreEntry | None, StoreFailure]
 
 
 class StoreTask(Task):
@@ -32,36 +65,148 @@
         """Create the task; ``open`` creates the session."""
         super().__init__(context)
         self.platform = context.settings.platform
+        self.codec = StoreCodec(self.platform.prefix)
+        self.rate = CallRate(self.platform.calls_per_s, self.now_ms())
+        self.circuit = Circuit()
+        self.last_failure = ''
+        self.grants_by_key: dict[LeaseKey, AsyncioTask[Answered]] = {}
 
     async def open(self) -> None:
         """Create the session."""
-        self.session = ClientSession(
-            timeout=ClientTimeout(total=self.platform.timeout_ms / MS_PER_S),
-        )
+        self.connection = PlatformConnection(self.platform)
 
     async def close(self) -> None:
         """Close the connections to the platform."""
         await super().close()
-        await self.session.close()
-
-    def encode_key(self, key: str) -> str:
-        """Encode a key, below the prefix of this system."""
-        return b64encode((self.platform.prefix + key).encode()).decode()
+        await self.connection.close()
 
     async def call(
         self,
+        kind: str,
         path: str,
         body: dict[str, Any],
-    ) -> Result[dict[str, Any], StoreFailure]:
-        """Send one call to the first URL of the platform."""
-        url = f'{self.platform.urls[0]}{path}'
-        try:
-            async with self.session.post(url, json=body) as response:
-                response.raise_for_status()
-                return Success(await response.json())
-        except (ClientError, TimeoutError, OSError) as error:
-            detail = f'{type(error).__name__}: {error}'
-            return Failure(StoreFailure(may_have_run=True, detail=detail))
+        writes: bool,
+    ) -> Answered:
+        """Send one call within the rate and the circuit breaker."""
+        refusal = await self.admit()
+        if refusal:
+            PLATFORM_CALLS.labels(kind, 'not-sent').inc()
+            return lose(refusal, may_have_run=False)
+        outcome = await self.connection.call(path, body, writes)
+        match outcome:
+            case Failure(error):
+                self.note_failure(kind, error)
+            case _:
+                self.note_success(kind)
+        return outcome
+
+    async def admit(self) -> str:
+        """Wait for a place within the rate.
+
+        Returns:
+            Why the call may not be sent, or an empty string.
+        """
+        timeout_ms = self.platform.timeout_ms
+        circuit, admitted = admit_call(self.circuit, timeout_ms, self.now_ms())
+        self.circuit = circuit
+        if not admitted:
+            return f'the platform is down: {self.last_failure}'
+        calls_per_s = self.platform.calls_per_s
+        rate, wait_ms = reserve_call(
+            self.rate, calls_per_s, timeout_ms, self.now_ms()
+        )
+        self.rate = rate
+        if wait_ms is None:
+            return f'more than {calls_per_s} calls a second'
+        if wait_ms:
+            await sleep(wait_ms / MS_PER_S)
+        return ''
+
+    def note_failure(self, kind: str, error: PlatformError) -> None:
+        """Count a failed call; a refusal shows that the platform is up."""
+        PLATFORM_CALLS.labels(
+            kind, 'refused' if error.answered else 'failed'
+        ).inc()
+        if error.answered:
+            self.circuit = Circuit()
+            return
+        self.last_failure = error.failure.detail
+        self.circuit = note_failed_call(
+            self.circuit, self.context.rng, self.now_ms()
+        )
+
+    def note_success(self, kind: str) -> None:
+        """Count a call that succeeded."""
+        PLATFORM_CALLS.labels(kind, 'ok').inc()
+        self.circuit = Circuit()
+
+    async def obtain_leases(
+        self,
+        message: StoreCommit,
+    ) -> Result[dict[int, str], PlatformError]:
+        """Return the shared lease for each time to live of the puts."""
+        leases_by_ttl_s: dict[int, str] = {}
+        for ttl_s in {put.lease_ttl_s for put in message.puts} - {0}:
+            match await self.obtain_lease(ttl_s):
+                case Success(answer):
+                    leases_by_ttl_s[ttl_s] = str(answer['ID'])
+                case Failure(error):
+                    # A grant that was lost leaves no key behind.
+                    failure = error.failure._replace(may_have_run=False)
+                    return Failure(error._replace(failure=failure))
+        return Success(leases_by_ttl_s)
+
+    async def obtain_lease(self, ttl_s: int) -> Answered:
+        """Grant a lease, once for all askers of the same hour."""
+        period = int(self.context.clock() // LEASE_SHARED_S)
+        key = (ttl_s, period)
+        self.grants_by_key = {
+            known: grant
+            for known, grant in self.grants_by_key.items()
+            if known[1] == period
+        }
+        grant = self.grants_by_key.get(key)
+        if grant is None:
+            body = {'TTL': str(ttl_s + LEASE_SHARED_S)}
+            grant = self.spawn(
+                self.call('lease-grant', GRANT_PATH, body, writes=True)
+            )
+            self.grants_by_key[key] = grant
+        outcome = await shield(grant)
+        if isinstance(outcome, Failure):
+            self.grants_by_key.pop(key, None)
+        return outcome
+
+    async def watch_from(
+        self,
+        message: StoreWatch,
+        after_revision: int,
+    ) -> StoreEntry | int | None:
+        """Wait for a write of the key after a revision of the store.
+
+        Returns:
+            The entry, the store's revision when the watch was refused
+            because it starts too far back, or None when the watch ended.
+        """
+        body = self.codec.encode_watch(message.key, after_revision)
+        async for told in self.connection.watch(WATCH_PATH, body):
+            if told.get('created'):
+                self.note_success('watch')
+            if told.get('canceled'):
+                return read_compacted(told)
+            if told.get('events'):
+                return self.codec.decode_entry(told['events'][0]['kv'])
+        return None
+
+
+def take_failure(error: PlatformError) -> StoreFailure:
+    """Return what the asker is told about an error."""
+    return error.failure
+
+
+def read_compacted(told: dict[str, Any]) -> int | None:
+    """Return the oldest revision that the store still can watch from."""
+    return int(told.get('compact_revision', 0)) or None
 
 
 @HANDLERS.on(StoreGet)
@@ -70,56 +215,88 @@
     message: StoreGet,
 ) -> Result[tuple[StoreEntry, ...], StoreFailure]:
     """Read a key or the keys below a prefix."""
-    body: dict[str, Any] = {'key': task.encode_key(message.key)}
-    if message.prefix:
-        body['range_end'] = task.encode_key(f'{message.key}\x7f')
-    answered = await task.call('/v3/kv/range', body)
-    prefix_length = len(task.platform.prefix)
-    return answered.map(
-        lambda answer: tuple(
-            StoreEntry(
-                b64decode(entry['key']).decode()[prefix_length:],
-                b64decode(entry['value']),
-                int(entry['mod_revision']),
-            )
-            for entry in answer.get('kvs', ())
-        ),
-    )
+    body = task.codec.encode_get(message)
+    answered = await task.call('range', RANGE_PATH, body, writes=False)
+    return answered.map(task.codec.decode_entries).alt(take_failure)
 
 
 @HANDLERS.on(StoreCommit)
 async def commit(
     task: StoreTask,
     message: StoreCommit,
-) -> Result[bool, StoreFailure]:
+) -> Result[StoreCommitted, StoreFailure]:
     """Write all puts if all expected revisions hold."""
-    compare = [
-        {
-            'key': task.encode_key(key),
-            'target': 'MOD',
-            'result': 'EQUAL',
-            'mod_revision': str(revision),
-        }
-        for key, revision in message.expected
-    ]
-    operations = [
-        {
-            'request_put': {
-                'key': task.encode_key(put.key),
-                'value': b64encode(put.content).decode(),
-            },
-        }
-        for put in message.puts
-    ]
-    deletions = [
-        {'request_delete_range': {'key': task.encode_key(key)}}
-        for key in message.deletes
-    ]
-    answered = await task.call(
-        '/v3/kv/txn',
-        {'compare': compare, 'success': operations + deletions},
-    )
-    return answered.map(lambda answer: bool(answer.get('succeeded', False)))
+    answered = await commit_once(task, message)
+    match answered:
+        case Failure(error) if error.code == NOT_FOUND_CODE:
+            # The lease expired before its time, for example in a pause.
+            task.grants_by_key.clear()
+            answered = await commit_once(task, message)
+    return answered.map(task.codec.decode_committed).alt(take_failure)
+
+
+async def commit_once(task: StoreTask, message: StoreCommit) -> Answered:
+    """Send the transaction with the leases that its puts need."""
+    leases = await task.obtain_leases(message)
+    if not isinstance(leases, Success):
+        return Failure(leases.failure())
+    body = task.codec.encode_commit(message, leases.unwrap())
+    return await task.call('txn', TXN_PATH, body, writes=True)
+
+
+@HANDLERS.on(StoreWatch)
+async def watch(task: StoreTask, message: StoreWatch) -> Watched:
+    """Wait until a key is written after a revision."""
+    refusal = await task.admit()
+    if refusal:
+        PLATFORM_CALLS.labels('watch', 'not-sent').inc()
+        return Failure(StoreFailure(may_have_run=False, detail=refusal))
+    try:
+        async with timeout(message.timeout_ms / MS_PER_S):
+            return await watch_until_written(task, message)
+    except (ClientError, ConnectionError, ValueError) as error:
+        return Failure(fail_watch(task, f'{type(error).__name__}: {error}'))
+    except TimeoutError:
+        return Success(None)
+
+
+async def watch_until_written(task: StoreTask, message: StoreWatch) -> Watched:
+    """Watch; read the key when the store no longer knows its history."""
+    found = await task.watch_from(message, message.after_revision)
+    if isinstance(found, StoreEntry):
+        return Success(found)
+    if found is None:
+        return Failure(fail_watch(task, 'the watch ended'))
+    body = task.codec.encode_get(StoreGet(message.key))
+    match await task.call('range', RANGE_PATH, body, writes=False):
+        case Success(answer):
+            entries = task.codec.decode_entries(answer)
+            if entries and entries[0].mod_revision > message.after_revision:
+                return Success(entries[0])
+            found = await task.watch_from(message, read_revision(answer))
+    if isinstance(found, StoreEntry):
+        return Success(found)
+    return Failure(fail_watch(task, 'the watch ended'))
+
+
+def fail_watch(task: StoreTask, detail: str) -> StoreFailure:
+    """Count a watch that failed; the next one uses another URL."""
+    failure = StoreFailure(may_have_run=False, detail=detail)
+    task.note_failure('watch', PlatformError(failure))
+    task.connection.use_next_url()
+    return failure
+
+
+@HANDLERS.on(DescribeTask)
+def describe(task: StoreTask, _message: DescribeTask) -> dict[str, Any]:
+    """Describe the connection to the platform for the daemon's status."""
+    failing = task.circuit.failures > 0
+    return {
+        'platform': {
+            'reachable': not failing,
+            'detail': task.last_failure if failing else '',
+        },
+    }
 
 
 @PLUGINS.register('store')
--- /dev/null
+++ b/bergamotshunt/store_codec.py
@@ -0,0 +1,141 @@
+"""Encoding of the platform's protocol: JSON gateway of etcd v3."""
+
+from base64 import b64decode, b64encode
+from typing import Any, Final, NamedTuple, TypedDict
+
+from bergamotshunt.messages import (
+    StoreCommit,
+    StoreCommitted,
+    StoreEntry,
+    StoreGet,
+    StorePut,
+)
+
+RANGE_PATH: Final = '/v3/kv/range'
+TXN_PATH: Final = '/v3/kv/txn'
+GRANT_PATH: Final = '/v3/lease/grant'
+WATCH_PATH: Final = '/v3/watch'
+# gRPC code of an unknown lease.
+NOT_FOUND_CODE: Final = 5
+
+
+class EntryDocument(TypedDict, total=False):
+    """A key with its value (``mvccpb.KeyValue``)."""
+
+    key: str
+    value: str
+    mod_revision: str
+
+
+def encode_bytes(content: bytes) -> str:
+    """Encode a key or a value."""
+    return b64encode(content).decode()
+
+
+def range_end(key: str) -> str:
+    """Return the first key after all keys that start with ``key``."""
+    return key[:-1] + chr(ord(key[-1]) + 1)
+
+
+def read_revision(answer: dict[str, Any]) -> int:
+    """Return the store's revision at the time of an answer."""
+    return int(answer.get('header', {}).get('revision', 0))
+
+
+class StoreCodec(NamedTuple):
+    """Encodes questions and decodes answers.
+
+    Attributes:
+        prefix: Prefix of all keys of this system in the platform.
+    """
+
+    prefix: str
+
+    def encode_key(self, key: str) -> str:
+        """Encode a key below the prefix."""
+        return encode_bytes((self.prefix + key).encode())
+
+    def encode_get(self, message: StoreGet) -> dict[str, Any]:
+        """Build a range request."""
+        first = f'{message.after}\0' if message.after else message.key
+        body: dict[str, Any] = {'key': self.encode_key(first)}
+        if message.prefix:
+            body['range_end'] = self.encode_key(range_end(message.key))
+        if message.limit:
+            body['limit'] = str(message.limit)
+        return body
+
+    def encode_commit(
+        self,
+        message: StoreCommit,
+        leases_by_ttl_s: dict[int, str],
+    ) -> dict[str, Any]:
+        """Build a transaction that reads the expected keys if it loses."""
+        compare = [
+            {
+                'key': self.encode_key(key),
+                'target': 'MOD',
+                'result': 'EQUAL',
+                'mod_revision': str(revision),
+            }
+            for key, revision in message.expected
+        ]
+        puts = [
+            self.encode_put(put, leases_by_ttl_s.get(put.lease_ttl_s, ''))
+            for put in message.puts
+        ]
+        deletions = [
+            {'request_delete_range': {'key': self.encode_key(key)}}
+            for key in message.deletes
+        ]
+        reads = [
+            {'request_range': {'key': self.encode_key(key)}}
+            for key, _ in message.expected
+        ]
+        return {
+            'compare': compare,
+            'success': puts + deletions,
+            'failure': reads,
+        }
+
+    def encode_put(self, put: StorePut, lease: str) -> dict[str, Any]:
+        """Build one write of a transaction."""
+        request = {
+            'key': self.encode_key(put.key),
+            'value': encode_bytes(put.content),
+        }
+        if lease:
+            request['lease'] = lease
+        return {'request_put': request}
+
+    def encode_watch(self, key: str, after_revision: int) -> dict[str, Any]:
+        """Build the request that starts a watch."""
+        return {
+            'create_request': {
+                'key': self.encode_key(key),
+                'start_revision': str(after_revision + 1),
+            },
+        }
+
+    def decode_entry(self, document: EntryDocument) -> StoreEntry:
+        """Decode one entry; a deleted one has no value."""
+        key = b64decode(document['key']).decode()
+        return StoreEntry(
+            key.removeprefix(self.prefix),
+            b64decode(document.get('value', '')),
+            int(document['mod_revision']),
+        )
+
+    def decode_entries(self, answer: dict[str, Any]) -> tuple[StoreEntry, ...]:
+        """Decode the entries of a range."""
+        return tuple(map(self.decode_entry, answer.get('kvs', ())))
+
+    def decode_committed(self, answer: dict[str, Any]) -> StoreCommitted:
+        """Decode the answer to a transaction."""
+        won = bool(answer.get('succeeded', False))
+        present: list[StoreEntry] = []
+        if not won:
+            for response in answer.get('responses', ()):
+                found = response.get('response_range', {})
+                present.extend(self.decode_entries(found))
+        return StoreCommitted(won, read_revision(answer), tuple(present))
