Guard the backend server: admission, bookings, health and probes

Cause: the guard passed every request on: no limit, no queue, no load report from behaviour, no check of the answer, a drain that did not wait, the query string lost, and a booking run as often as it arrived. Ruled out: buffering all answers (64 MB each), one task per request beside the reader of the connection, and a booking that is cancelled with its sender (its outcome would stay unknown for every repeat). A server is announced as SERVING after its first healthy probe, so test_path waits for a routable member before it calls; it asserts the same as before. Bookings need Bergamotshunt-Ticket from now on; the entry does not send it yet and gets 400, not run.

--- /dev/null
+++ b/bergamotshunt/decisions/successors.py
@@ -0,0 +1,45 @@
+"""Choice of the process that takes a booking over."""
+
+from random import Random
+
+from bergamotshunt.decisions.tickets import ProcessName
+from bergamotshunt.members import Member, is_routable
+
+
+def choose_successor(
+    members_by_id: dict[str, Member],
+    own_id: str,
+    chain: tuple[ProcessName, ...],
+    rng: Random,
+) -> ProcessName | None:
+    """Choose a routable server of the same service.
+
+    Servers that the booking came through are left out, whichever process
+    runs there now, so that a chain never turns back.
+
+    Args:
+        members_by_id: Known members.
+        own_id: This daemon.
+        chain: Processes that the booking came through.
+        rng: Random source.
+    """
+    own = members_by_id.get(own_id)
+    if own is None:
+        return None
+    passed = {own_id, *(process.daemon_id for process in chain)}
+    candidates = [
+        member
+        for member in members_by_id.values()
+        if member.service == own.service
+        and member.daemon_id not in passed
+        and is_routable(member)
+    ]
+    near = [
+        member
+        for member in candidates
+        if member.availability_zone == own.availability_zone
+    ]
+    if not candidates:
+        return None
+    chosen = rng.choice(near or candidates)
+    return ProcessName(chosen.daemon_id, chosen.process_id)
--- /dev/null
+++ b/bergamotshunt/guard_metrics.py
@@ -0,0 +1,41 @@
+"""Metrics of the tasks beside a backend server.
+
+Label values are bounded: reasons are words of the code, targets are those
+that the operators set.
+"""
+
+from typing import Final
+
+from prometheus_client import Counter, Gauge
+
+PREFIX: Final = 'bergamotshunt_guard_'
+
+IN_FLIGHT: Final = Gauge(
+    f'{PREFIX}in_flight',
+    'Requests running on the backend server.',
+)
+LIMIT: Final = Gauge(f'{PREFIX}limit', 'Concurrency limit in force.')
+QUEUED: Final = Gauge(f'{PREFIX}queued', 'Requests that wait for a slot.')
+REQUESTS: Final = Counter(
+    f'{PREFIX}requests',
+    'Requests by target and outcome; the outcome is a reason or answered.',
+    ('target', 'outcome'),
+)
+BOOKINGS: Final = Counter(
+    f'{PREFIX}bookings',
+    'Requests with a booking key by what the booking table decided.',
+    ('step',),
+)
+KEYS_HELD: Final = Gauge(f'{PREFIX}booking_keys', 'Booking keys in memory.')
+MEASURING_SPENT: Final = Counter(
+    'bergamotshunt_measuring_spent_slot_ms',
+    'Slot-milliseconds of the backend server spent on probes.',
+)
+MEASURING_ALLOWED: Final = Counter(
+    'bergamotshunt_measuring_allowed_slot_ms',
+    'Slot-milliseconds that the measuring budget has allowed.',
+)
+REPORTED_LOAD: Final = Gauge(
+    'bergamotshunt_server_reported_load',
+    'Requests in flight as the backend server reports them; may be stale.',
+)
--- /dev/null
+++ b/bergamotshunt/guard_replies.py
@@ -0,0 +1,127 @@
+"""Replies of the guard: answers of the backend server and refusals."""
+
+from base64 import b64encode
+from hashlib import sha256
+from typing import Any, Final, NamedTuple
+
+from aiohttp import ClientError
+
+from bergamotshunt.calls import Answer, HeaderItems, LoadReport
+from bergamotshunt.headers import (
+    CONTENT_DIGEST,
+    LOAD,
+    REPLAYED,
+    REQUEST_ID,
+    SERVER,
+    VERDICT,
+    format_load,
+)
+from bergamotshunt.local_server import ServerAnswer
+from bergamotshunt.log import log_event
+from bergamotshunt.verdicts import CallFailure, Verdict
+from bergamotshunt.web import encode_headers, send_failure, send_whole
+
+OWN_HEADERS: Final = frozenset(
+    (REQUEST_ID, VERDICT, SERVER, LOAD, CONTENT_DIGEST, REPLAYED),
+)
+
+
+class ReplyHead(NamedTuple):
+    """What every reply of the guard carries.
+
+    Attributes:
+        request_id: Identity of the request.
+        daemon_id: This daemon.
+        load: Load at the time of the reply.
+    """
+
+    request_id: str
+    daemon_id: str
+    load: LoadReport
+
+
+def common_headers(head: ReplyHead) -> HeaderItems:
+    """Return the headers of answers and refusals alike."""
+    return ((SERVER, head.daemon_id), (LOAD, format_load(head.load)))
+
+
+def ran_headers(head: ReplyHead, answer: ServerAnswer | Answer) -> HeaderItems:
+    """Return the headers of an answer without length and digest."""
+    passed_on = tuple(
+        item for item in answer.headers if item[0] not in OWN_HEADERS
+    )
+    return (
+        *passed_on,
+        (REQUEST_ID, head.request_id),
+        (VERDICT, Verdict.RAN.value),
+        *common_headers(head),
+    )
+
+
+def digest_of(body: bytes) -> str:
+    """Return the value of ``Content-Digest`` (RFC 9530)."""
+    digest = b64encode(sha256(body).digest()).decode()
+    return f'sha-256=:{digest}:'
+
+
+async def send_refusal(
+    send: Any,
+    failure: CallFailure,
+    head: ReplyHead,
+) -> None:
+    """Send a failure with the load report."""
+    await send_failure(send, failure, head.request_id, common_headers(head))
+
+
+async def send_answer(
+    send: Any,
+    answer: ServerAnswer | Answer,
+    head: ReplyHead,
+) -> None:
+    """Send an answer of the backend server, or one that was kept."""
+    if isinstance(answer, ServerAnswer) and not answer.is_whole:
+        await send_stream(send, answer, head)
+        return
+    headers = [
+        *ran_headers(head, answer),
+        (CONTENT_DIGEST, digest_of(answer.body)),
+    ]
+    if isinstance(answer, Answer):
+        headers.append((REPLAYED, 'true'))
+    await send_whole(send, answer.status, headers, answer.body)
+
+
+async def send_stream(
+    send: Any,
+    answer: ServerAnswer,
+    head: ReplyHead,
+) -> None:
+    """Send an answer in pieces.
+
+    When it is cut short, the reply is left incomplete and the web server
+    closes the connection, so that the receiver notices: the length that
+    was told, or the last chunk, is missing.
+    """
+    headers = encode_headers(ran_headers(head, answer))
+    if answer.length is not None:
+        headers.append((b'content-length', b'%d' % answer.length))
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': answer.status,
+            'headers': headers,
+        }
+    )
+    try:
+        async for piece in answer.chunks():
+            await send(
+                {
+                    'type': 'http.response.body',
+                    'body': piece,
+                    'more_body': True,
+                }
+            )
+    except (ClientError, OSError) as error:
+        log_event('guard:answer-cut-short', detail=str(error))
+        return
+    await send({'type': 'http.response.body', 'body': b''})
--- /dev/null
+++ b/bergamotshunt/guarding.py
@@ -0,0 +1,247 @@
+"""The way of a request through the guard to the local backend server."""
+
+from asyncio import Event
+from asyncio import Task as AsyncioTask
+from collections.abc import Coroutine
+from functools import partial
+from http import HTTPStatus
+from typing import Any, Final
+
+from returns.result import Failure, Success
+
+from bergamotshunt.backend_calls import BackendCalls
+from bergamotshunt.booking_replies import Outcome
+from bergamotshunt.booking_runs import BookingRun, BookingRuns
+from bergamotshunt.calls import LoadReport
+from bergamotshunt.decisions.bookings import BookingLimits, BookingTable
+from bergamotshunt.decisions.successors import choose_successor
+from bergamotshunt.decisions.tickets import ProcessName, era_at
+from bergamotshunt.guard_metrics import REQUESTS
+from bergamotshunt.guard_replies import ReplyHead, send_answer, send_refusal
+from bergamotshunt.guard_requests import (
+    BookingHead,
+    GuardRequest,
+    read_request,
+)
+from bergamotshunt.headers import INCARNATION, REQUEST_ID
+from bergamotshunt.kernel import Task
+from bergamotshunt.local_server import ServerAnswer
+from bergamotshunt.log import log_event
+from bergamotshunt.members import Member
+from bergamotshunt.request_bodies import (
+    RequestBody,
+    read_start,
+    serve_until_gone,
+)
+from bergamotshunt.server_gate import ServerGate
+from bergamotshunt.settings import BookingsSettings
+from bergamotshunt.targets import ServiceTargets
+from bergamotshunt.verdicts import CallFailure, create_refusal
+from bergamotshunt.web import BodyTooLargeError, decode_headers
+
+# Room for an hour of bookings of one server; a full table closes its
+# oldest eras early.
+MAX_BOOKING_KEYS: Final = 200_000
+
+
+class GuardedServer:
+    """The backend server as peers reach it; state of the guard task.
+
+    Args:
+        task: Task that owns this state.
+        gate: Decides whether new work is accepted.
+    """
+
+    def __init__(self, task: Task, gate: ServerGate) -> None:
+        """Create without connections; see ``open``."""
+        context = task.context
+        self.task = task
+        self.settings = context.settings
+        self.gate = gate
+        self.own = ProcessName(context.settings.daemon.id, context.process_id)
+        self.started_ms = task.now_ms()
+        self.service = ServiceTargets(context.settings.backend_server.service)
+        self.members_by_id: dict[str, Member] = {}
+        self.open_requests = 0
+        self.request_ended = Event()
+        self.runs = BookingRuns(
+            BookingTable(self.own, booking_limits(self.settings.bookings)),
+            self.spawn_run,
+            self.choose_successor,
+        )
+
+    def open(self) -> None:
+        """Create the connections; a running event loop is needed."""
+        self.calls = BackendCalls(self.settings, self.gate, self.task.now_ms)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.calls.close()
+
+    async def finish_work(self) -> None:
+        """Wait for accepted work, then tell the backend server."""
+        while self.open_requests or self.runs.by_key:
+            self.request_ended.clear()
+            await self.request_ended.wait()
+        log_event('guard:idle', daemon=self.own.daemon_id)
+        await self.calls.ask_to_drain()
+
+    def advance_era(self) -> int:
+        """Enter the booking era of this moment and return it."""
+        era = era_at(
+            self.task.now_ms(),
+            self.started_ms,
+            self.settings.bookings.era_s,
+        )
+        self.runs.table.advance(era)
+        return era
+
+    def spawn_run(self, work: Coroutine[Any, Any, None]) -> AsyncioTask[None]:
+        """Run a booking, which may outlive its senders."""
+        child = self.task.spawn(work)
+        child.add_done_callback(self.note_end)
+        return child
+
+    def note_end(self, _child: AsyncioTask[Any] | None = None) -> None:
+        """Wake up a drain that waits for the end of work."""
+        self.request_ended.set()
+
+    def choose_successor(self, booking: BookingHead) -> ProcessName | None:
+        """Choose the process that takes a booking over."""
+        return choose_successor(
+            self.members_by_id,
+            self.own.daemon_id,
+            booking.chain,
+            self.task.context.rng,
+        )
+
+    def load_report(self) -> LoadReport:
+        """Return the load as of now."""
+        return self.calls.admission.load_report()
+
+    async def serve(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one request for the backend server."""
+        headers = decode_headers(scope)
+        limits = self.settings.calls
+        self.open_requests += 1
+        try:
+            body = await read_start(
+                receive,
+                limits.body_buffer_bytes,
+                limits.max_body_bytes,
+            )
+            await serve_until_gone(
+                body,
+                self.answer(scope, headers, body, send),
+            )
+        except BodyTooLargeError as error:
+            await self.refuse(send, headers, refuse_size(str(error)))
+        finally:
+            self.open_requests -= 1
+            self.note_end()
+
+    async def answer(
+        self,
+        scope: Any,
+        headers: dict[str, str],
+        body: RequestBody,
+        send: Any,
+    ) -> None:
+        """Run a request and send its outcome."""
+        read = read_request(
+            scope,
+            headers,
+            self.service,
+            self.task.now_ms(),
+            self.settings.calls.default_deadline_ms,
+        )
+        match read:
+            case Failure(failure):
+                await self.refuse(send, headers, failure)
+                return
+        request = read.unwrap()
+        match await self.execute(request, headers, body):
+            case Success(answer):
+                REQUESTS.labels(request.target.name, 'answered').inc()
+                try:
+                    await send_answer(send, answer, self.head(headers))
+                finally:
+                    end_answer(answer)
+            case Failure(failure):
+                await self.refuse(send, headers, failure, request.target.name)
+
+    async def execute(
+        self,
+        request: GuardRequest,
+        headers: dict[str, str],
+        body: RequestBody,
+    ) -> Outcome:
+        """Run a request on the backend server, a booking at most once."""
+        if request.booking is None:
+            incarnation = headers.get(INCARNATION, '')
+            if incarnation not in {'', str(self.own.process_id)}:
+                return Failure(refuse_incarnation())
+            return await self.calls.run(request, body)
+        if not body.is_whole:
+            return Failure(refuse_size('a booking has to fit the buffer'))
+        self.advance_era()
+        return await self.runs.serve(
+            request.booking,
+            request.work.deadline_ms - self.task.now_ms(),
+            partial(self.start_run, request, body),
+        )
+
+    def start_run(
+        self,
+        request: GuardRequest,
+        body: RequestBody,
+        run: BookingRun,
+    ) -> Coroutine[Any, Any, Outcome]:
+        """Create the work of a booking."""
+        return self.calls.run(request, body, run.note_start)
+
+    async def refuse(
+        self,
+        send: Any,
+        headers: dict[str, str],
+        failure: CallFailure,
+        target: str = '',
+    ) -> None:
+        """Send a refusal or another failure."""
+        REQUESTS.labels(target, failure.reason).inc()
+        await send_refusal(send, failure, self.head(headers))
+
+    def head(self, headers: dict[str, str]) -> ReplyHead:
+        """Return what the reply to a request carries."""
+        return ReplyHead(
+            headers.get(REQUEST_ID, ''),
+            self.own.daemon_id,
+            self.load_report(),
+        )
+
+
+def booking_limits(bookings: BookingsSettings) -> BookingLimits:
+    """Return the bounds of the memory for bookings."""
+    return BookingLimits(
+        bookings.eras_kept,
+        bookings.answer_bytes,
+        bookings.answers_bytes,
+        MAX_BOOKING_KEYS,
+    )
+
+
+def refuse_size(detail: str) -> CallFailure:
+    """Refuse a body that is too large."""
+    status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+    return create_refusal('body-too-large', detail, status)
+
+
+def refuse_incarnation() -> CallFailure:
+    """Refuse a request that was sent to an earlier process."""
+    return create_refusal('other-incarnation', 'this daemon was restarted')
+
+
+def end_answer(answer: Any) -> None:
+    """Close an answer of the backend server; a kept one has no end."""
+    if isinstance(answer, ServerAnswer):
+        answer.close()
--- /dev/null
+++ b/bergamotshunt/peer_serving.py
@@ -0,0 +1,57 @@
+"""Serves the endpoints between daemons on the peers port."""
+
+from http import HTTPStatus
+from typing import Any
+
+from bergamotshunt.kernel import Post
+from bergamotshunt.peer_api import PEER_ENDPOINTS
+from bergamotshunt.verdicts import create_refusal
+from bergamotshunt.web import (
+    BodyTooLargeError,
+    read_body,
+    send_failure,
+    send_whole,
+)
+
+
+async def serve_endpoint(
+    post: Post,
+    path: str,
+    receive: Any,
+    send: Any,
+    max_body_bytes: int,
+) -> None:
+    """Hand a request between daemons to its endpoint.
+
+    Raises:
+        CallerGoneError: The sender left.
+    """
+    if path not in PEER_ENDPOINTS.by_name:
+        refusal = create_refusal(
+            'unknown-endpoint',
+            f'no endpoint {path}',
+            HTTPStatus.NOT_FOUND,
+        )
+        await send_failure(send, refusal, '')
+        return
+    try:
+        body = await read_body(receive, max_body_bytes)
+        answer = await PEER_ENDPOINTS.get(path)(post, body)
+    except BodyTooLargeError as too_large:
+        refusal = create_refusal(
+            'body-too-large',
+            str(too_large),
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        )
+        await send_failure(send, refusal, '')
+        return
+    except ValueError as error:
+        refusal = create_refusal(
+            'malformed',
+            str(error),
+            HTTPStatus.BAD_REQUEST,
+        )
+        await send_failure(send, refusal, '')
+        return
+    json_type = [('content-type', 'application/json')]
+    await send_whole(send, int(HTTPStatus.OK), json_type, answer)
--- a/bergamotshunt/plugins/guard.py
+++ b/bergamotshunt/plugins/guard.py
@@ -1,41 +1,40 @@
 """Guard: the peers port; the only way to the local backend server."""
 
-from http import HTTPStatus
+from asyncio import Task as AsyncioTask
+from asyncio import create_task, shield, sleep
 from typing import Any, Final
 
-from returns.result import Failure, Result, Success
-
 from bergamotshunt.calls import LoadReport
-from bergamotshunt.headers import (
-    DEADLINE_MS,
-    INCARNATION,
-    LOAD,
-    REQUEST_ID,
-    SERVER,
-    VERDICT,
-    format_load,
-)
+from bergamotshunt.decisions.health import Evidence
+from bergamotshunt.guarding import GuardedServer
 from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
 from bergamotshunt.members import ServerState
-from bergamotshunt.messages import DescribeTask, PortBound, ServerStateChanged
-from bergamotshunt.peer_api import PEER_ENDPOINTS, PREFIX
-from bergamotshunt.transport import HttpAnswer, HttpRequest, Sender, end_to_end
-from bergamotshunt.verdicts import CallFailure, Verdict, create_refusal
-from bergamotshunt.web import (
-    BodyTooLargeError,
-    CallerGoneError,
-    HttpServer,
-    decode_headers,
-    read_body,
-    send_failure,
-    send_whole,
+
+# A task names every message that it handles or publishes.
+from bergamotshunt.messages import (  # noqa: WPS235
+    ConfirmationChanged,
+    DescribeLoad,
+    DescribeTask,
+    DrainRequested,
+    EraChanged,
+    HealthObserved,
+    MembersChanged,
+    PortBound,
+    ServerStateChanged,
+    TargetsChanged,
 )
+from bergamotshunt.peer_api import PREFIX
+from bergamotshunt.peer_serving import serve_endpoint
+from bergamotshunt.server_gate import ServerGate
+from bergamotshunt.targets import ServiceTargets
+from bergamotshunt.web import CallerGoneError, HttpServer
 
 HANDLERS: Final = HandlerTable()
+MS_PER_S: Final = 1000
 
 
 class GuardTask(Task):
-    """Admits requests to the backend server beside this daemon."""
+    """Owns the peers port and the backend server beside this daemon."""
 
     name = 'guard'
     handlers = HANDLERS
@@ -43,9 +42,9 @@
     def __init__(self, context: Context) -> None:
         """Create the task; ``open`` binds the port."""
         super().__init__(context)
-        self.server_settings = context.settings.backend_server
-        self.draining = False
-        self.in_flight = 0
+        self.gate = ServerGate(self.publish_state)
+        self.guarded = GuardedServer(self, self.gate)
+        self.draining: AsyncioTask[None] | None = None
         self.http = HttpServer(
             self.serve,
             context.settings.daemon.ip,
@@ -54,123 +53,99 @@
 
     async def open(self) -> None:
         """Listen on the peers port."""
-        self.sender = Sender(self.server_settings.connections)
+        self.guarded.open()
         await self.http.open()
         self.post.publish(PortBound('peers', self.http.port))
-        if self.server_settings.service:
-            self.post.publish(ServerStateChanged(ServerState.SERVING))
+
+    async def start(self) -> None:
+        """Start the eras of bookings."""
+        self.spawn(self.publish_eras())
 
     async def drain(self) -> None:
-        """Refuse new requests from now on."""
-        self.draining = True
-        self.post.publish(ServerStateChanged(ServerState.DRAINING))
+        """Refuse new work and wait until all accepted work has ended."""
+        if self.draining is None:
+            self.gate.drain()
+            self.draining = create_task(self.guarded.finish_work())
+        await shield(self.draining)
 
     async def close(self) -> None:
         """Close the port and the connections to the backend server."""
         await self.http.close()
-        await self.sender.close()
         await super().close()
-
-    def load_report(self) -> LoadReport:
-        """Return the load as of now."""
-        return LoadReport(self.in_flight, self.server_settings.slots, 0, 0)
+        if self.draining is not None:
+            self.draining.cancel()
+        await self.guarded.close()
+
+    def publish_state(self, server_state: ServerState) -> None:
+        """Tell the other tasks the state of the backend server."""
+        self.post.publish(ServerStateChanged(server_state))
+
+    async def publish_eras(self) -> None:
+        """Publish each era when it begins."""
+        era_ms = self.settings.bookings.era_s * MS_PER_S
+        while True:
+            era = self.guarded.advance_era()
+            self.post.publish(EraChanged(era))
+            next_ms = self.guarded.started_ms + (era + 1) * era_ms
+            await sleep(max(0, next_ms - self.now_ms()) / MS_PER_S)
 
     async def serve(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request of a peer (ASGI)."""
-        headers = decode_headers(scope)
-        request_id = headers.get(REQUEST_ID, '')
         try:
-            body = await read_body(
-                receive,
-                self.settings.calls.max_body_bytes,
-            )
-        except CallerGoneError:
-            return
-        except BodyTooLargeError as error:
-            refusal = create_refusal(
-                'body-too-large',
-                str(error),
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-            )
-            await send_failure(send, refusal, request_id)
-            return
-        if scope['path'].startswith(PREFIX):
-            await self.serve_peer_api(scope['path'], body, send)
-            return
-        match await self.run_on_server(scope, headers, body):
-            case Success(answer):
-                await send_whole(
+            if scope['path'].startswith(PREFIX):
+                await serve_endpoint(
+                    self.post,
+                    scope['path'],
+                    receive,
                     send,
-                    answer.status,
-                    (
-                        *end_to_end(answer.headers),
-                        (REQUEST_ID, request_id),
-                        (VERDICT, Verdict.RAN.value),
-                        (SERVER, self.settings.daemon.id),
-                        (LOAD, format_load(self.load_report())),
-                    ),
-                    answer.body,
+                    self.settings.calls.max_body_bytes,
                 )
-            case Failure(failure):
-                await send_failure(send, failure, request_id)
-
-    async def serve_peer_api(self, path: str, body: bytes, send: Any) -> None:
-        """Hand a request between daemons to its endpoint."""
-        if path not in PEER_ENDPOINTS.by_name:
-            refusal = create_refusal(
-                'unknown-endpoint',
-                f'no endpoint {path}',
-                HTTPStatus.NOT_FOUND,
-            )
-            await send_failure(send, refusal, '')
-            return
-        try:
-            answer = await PEER_ENDPOINTS.get(path)(self.post, body)
-        except ValueError as error:
-            refusal = create_refusal(
-                'malformed',
-                str(error),
-                HTTPStatus.BAD_REQUEST,
-            )
-            await send_failure(send, refusal, '')
+            else:
+                await self.guarded.serve(scope, receive, send)
+        except CallerGoneError:
             return
-        json_type = [('content-type', 'application/json')]
-        await send_whole(send, int(HTTPStatus.OK), json_type, answer)
-
-    async def run_on_server(
-        self,
-        scope: Any,
-        headers: dict[str, str],
-        body: bytes,
-    ) -> Result[HttpAnswer, CallFailure]:
-        """Admit a request and run it on the backend server."""
-        if self.draining:
-            return Failure(create_refusal('draining', 'the server is leaving'))
-        if headers.get(INCARNATION, '') not in {
-            '',
-            str(self.context.process_id),
-        }:
-            return Failure(
-                create_refusal(
-                    'other-incarnation', 'this daemon was restarted'
-                ),
-            )
-        request = HttpRequest(
-            scope['method'],
-            self.server_settings.url + scope['raw_path'].decode('latin-1'),
-            dict(end_to_end(headers)),
-            body,
-            float(
-                headers.get(
-                    DEADLINE_MS, self.settings.calls.default_deadline_ms
-                )
-            ),
-        )
-        self.in_flight += 1
-        try:
-            return await self.sender.send(request)
-        finally:
-            self.in_flight -= 1
+
+
+@HANDLERS.on(TargetsChanged)
+def update_targets(task: GuardTask, message: TargetsChanged) -> None:
+    """Take over newer targets."""
+    name = task.guarded.service.service
+    by_service = message.target_set.by_service
+    task.guarded.service = by_service.get(name, ServiceTargets(name))
+    task.gate.has_targets = name in by_service
+
+
+@HANDLERS.on(MembersChanged)
+def update_members(task: GuardTask, message: MembersChanged) -> None:
+    """Take over the known members."""
+    task.guarded.members_by_id = message.members_by_id
+
+
+@HANDLERS.on(ConfirmationChanged)
+def update_confirmation(task: GuardTask, message: ConfirmationChanged) -> None:
+    """Refuse new work while the targets are not confirmed."""
+    task.gate.unconfirmed = '' if message.confirmed else message.detail
+
+
+@HANDLERS.on(HealthObserved)
+def note_health(task: GuardTask, message: HealthObserved) -> None:
+    """Take a probe into account."""
+    evidence = Evidence.PROBE_FAILED
+    if message.healthy:
+        evidence = Evidence.PROBE_HEALTHY
+    task.gate.note(evidence, task.now_ms())
+
+
+@HANDLERS.on(DrainRequested)
+async def start_drain(task: GuardTask, _message: DrainRequested) -> None:
+    """Drain on request of an operator."""
+    await task.drain()
+
+
+@HANDLERS.on(DescribeLoad)
+def describe_load(task: GuardTask, _message: DescribeLoad) -> LoadReport:
+    """Report the load of this moment."""
+    return task.guarded.load_report()
 
 
 @HANDLERS.on(DescribeTask)
@@ -178,8 +153,11 @@
     """Describe the guard for the daemon's status."""
     return {
         'guard': {
-            'draining': task.draining,
-            'load': task.load_report()._asdict(),
+            'server_state': task.gate.server_state.name.lower(),
+            'draining': task.gate.draining,
+            'load': task.guarded.load_report()._asdict(),
+            'booking_keys': len(task.guarded.runs.table.by_key),
+            'era': task.guarded.runs.table.era,
         },
     }
 
--- /dev/null
+++ b/bergamotshunt/plugins/prober.py
@@ -0,0 +1,202 @@
+"""Prober: health and load of the local server, within the budget."""
+
+from asyncio import sleep
+from typing import Any, Final
+
+from msgspec import DecodeError
+from msgspec.json import decode
+from returns.result import Success
+
+from bergamotshunt.calls import LoadReport
+from bergamotshunt.decisions.measuring import (
+    DEFAULT_SHARE,
+    MeasuringBudget,
+    spend,
+    wait_ms,
+    with_rate,
+)
+from bergamotshunt.guard_metrics import (
+    MEASURING_ALLOWED,
+    MEASURING_SPENT,
+    REPORTED_LOAD,
+)
+from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
+from bergamotshunt.local_server import LocalServer, ServerRequest
+from bergamotshunt.log import log_event
+from bergamotshunt.members import ServerState
+from bergamotshunt.messages import (
+    DescribeLoad,
+    DescribeTask,
+    HealthObserved,
+    ServerStateChanged,
+    TargetsChanged,
+)
+from bergamotshunt.verdicts import Verdict
+
+HANDLERS: Final = HandlerTable()
+MS_PER_S: Final = 1000
+CONNECTIONS: Final = 1
+ANSWER_BYTES: Final = 65_536
+HTTP_OK: Final = range(200, 300)
+# The load of the server is a figure for operators only: the guard counts
+# the requests itself. One probe in five is enough for that.
+LOAD_EVERY: Final = 5
+# A server that starts or is down is looked at again this soon, as far as
+# the budget allows.
+LEAST_PAUSE_MS: Final = 20.0
+LOAD_FIELDS: Final = ('in_flight', 'running')
+
+
+class ProberTask(Task):
+    """Owns the measuring budget of the local backend server."""
+
+    name = 'prober'
+    handlers = HANDLERS
+
+    def __init__(self, context: Context) -> None:
+        """Create the task with an empty budget."""
+        super().__init__(context)
+        self.server = context.settings.backend_server
+        self.measuring = context.settings.measuring
+        self.share = DEFAULT_SHARE
+        self.server_state = ServerState.STARTING
+        self.probes = 0
+        self.budget = MeasuringBudget(
+            self.measuring.probe_cost_ms,
+            self.now_ms(),
+            min(self.server.slots, 1),
+        )
+
+    async def open(self) -> None:
+        """Create the connection for probes."""
+        self.connection = LocalServer(CONNECTIONS, ANSWER_BYTES)
+
+    async def start(self) -> None:
+        """Start to probe, when there is a backend server."""
+        if self.server.service:
+            self.spawn(self.probe_forever())
+
+    async def close(self) -> None:
+        """End the probes and close the connection."""
+        await super().close()
+        await self.connection.close()
+
+    async def probe_forever(self) -> None:
+        """Probe as often as wanted and allowed."""
+        while True:
+            load = await self.post.ask(DescribeLoad())
+            if self.share <= 0:
+                # Operators allow no measuring: only observed requests
+                # tell the health, and they can only follow trust.
+                self.post.publish(HealthObserved(healthy=True))
+            elif self.take_budget(load):
+                await self.probe()
+            await sleep(self.pause_ms() / MS_PER_S)
+
+    def take_budget(self, load: LoadReport) -> bool:
+        """Take the cost of one probe, if the budget allows it."""
+        before = self.budget
+        slots = min(self.server.slots, load.limit)
+        now_ms = self.now_ms()
+        rated = with_rate(before, now_ms, slots, self.share)
+        after, is_allowed = spend(rated, now_ms, load)
+        self.budget = after
+        MEASURING_ALLOWED.inc(after.allowed - before.allowed)
+        MEASURING_SPENT.inc(after.spent - before.spent)
+        return is_allowed
+
+    def pause_ms(self) -> float:
+        """Return the time until the next look at the budget."""
+        interval_ms = self.measuring.health_interval_ms
+        if self.server_state is ServerState.SERVING:
+            return interval_ms
+        return min(interval_ms, max(LEAST_PAUSE_MS, wait_ms(self.budget)))
+
+    async def probe(self) -> None:
+        """Probe the load now and then, the health otherwise."""
+        self.probes += 1
+        if self.server.load_path and not self.probes % LOAD_EVERY:
+            await self.probe_load()
+            return
+        outcome = await self.ask_server(self.server.health_path)
+        self.post.publish(HealthObserved(healthy=is_healthy(outcome)))
+
+    async def probe_load(self) -> None:
+        """Take the load that the server reports into the metrics."""
+        outcome = await self.ask_server(self.server.load_path)
+        reported = read_document(outcome)
+        for field in LOAD_FIELDS:
+            if isinstance(reported.get(field), int):
+                REPORTED_LOAD.set(reported[field])
+
+    async def ask_server(self, path: str) -> tuple[int, bytes]:
+        """Send one probe.
+
+        Returns:
+            Status and body; status 0 when there was no whole answer.
+        """
+        request = ServerRequest(
+            'GET',
+            self.server.url + path,
+            (),
+            b'',
+            '',
+            self.measuring.health_interval_ms,
+        )
+        outcome = await self.connection.open(request)
+        match outcome:
+            case Success(answer):
+                answer.close()
+                return answer.status, answer.body
+        failure = outcome.failure()
+        if failure.verdict is not Verdict.NOT_RUN:
+            log_event('prober:failed', level='debug', detail=failure.detail)
+        return 0, b''
+
+
+def read_document(outcome: tuple[int, bytes]) -> dict[str, Any]:
+    """Return the JSON object of a probe's answer; empty for others."""
+    try:
+        document = decode(outcome[1] or b'{}')
+    except DecodeError:
+        return {}
+    return document if isinstance(document, dict) else {}
+
+
+def is_healthy(outcome: tuple[int, bytes]) -> bool:
+    """Tell whether a server answered that it is healthy."""
+    is_told = read_document(outcome).get('healthy', True) is not False
+    return outcome[0] in HTTP_OK and is_told
+
+
+@HANDLERS.on(TargetsChanged)
+def update_share(task: ProberTask, message: TargetsChanged) -> None:
+    """Take over the share of capacity that measuring may cost."""
+    targets = message.target_set.by_service.get(task.server.service)
+    if targets is not None:
+        task.share = targets.measuring_share
+
+
+@HANDLERS.on(ServerStateChanged)
+def note_state(task: ProberTask, message: ServerStateChanged) -> None:
+    """Note the state, which decides how often to look."""
+    task.server_state = message.server_state
+
+
+@HANDLERS.on(DescribeTask)
+def describe(task: ProberTask, _message: DescribeTask) -> dict[str, Any]:
+    """Describe the measuring for the daemon's status."""
+    return {
+        'measuring': {
+            'share': task.share,
+            'spent_slot_ms': task.budget.spent,
+            'allowed_slot_ms': task.budget.allowed,
+            'probes': task.probes,
+        },
+    }
+
+
+@PLUGINS.register('prober')
+def create_prober(context: Context) -> ProberTask:
+    """Create the prober task."""
+    return ProberTask(context)
--- a/bergamotshunt/tests/test_path.py
+++ b/bergamotshunt/tests/test_path.py
@@ -8,6 +8,7 @@
 from bergamotshunt.daemon import create_kernel
 from bergamotshunt.headers import REQUEST_ID, VERDICT
 from bergamotshunt.kernel import Mailbox
+from bergamotshunt.members import Member, is_routable
 from bergamotshunt.messages import MembersChanged, TargetsChanged
 from bergamotshunt.settings import (
     BackendServerSettings,
@@ -84,8 +85,9 @@
     sender = Sender(10)
     async with asyncio.timeout(20):
         await targets.get()
-        while 'd2' not in (await members.get()).message.members_by_id:
-            pass
+        known: dict[str, Member] = {}
+        while 'd2' not in known or not any(map(is_routable, known.values())):
+            known = (await members.get()).message.members_by_id
     port = first.ports_by_kind['callers']
     answer = await ask(sender, port, '/jar-ledger/balances/7?x=1')
     assert answer.status == 200
--- a/bergamotshunt/web.py
+++ b/bergamotshunt/web.py
@@ -18,6 +18,7 @@
 from msgspec.json import encode
 from uvicorn import Config, Server
 
+from bergamotshunt.calls import HeaderItems
 from bergamotshunt.headers import REQUEST_ID, RETRY_AFTER, SUCCESSOR, VERDICT
 from bergamotshunt.verdicts import CallFailure, create_problem
 
@@ -184,12 +185,14 @@
     send: Any,
     failure: CallFailure,
     request_id: str,
+    extra_headers: HeaderItems = (),
 ) -> None:
     """Send a problem document with the verdict."""
     header_items = [
         ('content-type', 'application/problem+json'),
         (VERDICT, failure.verdict.value),
         (REQUEST_ID, request_id),
+        *extra_headers,
     ]
     if failure.retry_after_ms:
         retry_after_s = -(-failure.retry_after_ms // MS_PER_S)
