--- a/bergamotshunt/local_server.py
+++ b/bergamotshunt/local_server.py
@@ -89,6 +89,7 @@
         self.body = body
         self.is_whole = is_whole
         self.on_end: Callable[[], None] | None = None
+        self._is_read = is_whole
         self._response = response
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -99,16 +100,15 @@
             TimeoutError: It took longer than allowed.
         """
         yield self.body
-        while not self.is_whole:
+        while not self._is_read:
             piece = await self._response.content.readany()
-            if not piece:
-                self.is_whole = True
-                return
-            yield piece
+            self._is_read = not piece
+            if piece:
+                yield piece
 
     def close(self) -> None:
         """End the answer; a connection with unread data is closed."""
-        if not self.is_whole:
+        if not self._is_read:
             self._response.close()
         if self.on_end is not None:
             self.on_end()
