Measure choosers under scenarios against a lower bound

Cause: nothing compared choosers or told how far they are from the best possible choice.

The stand-in's sockets state their protocol.

--- /dev/null
+++ b/bench/bound.py
@@ -0,0 +1,115 @@
+"""Lower bound: calls go straight to servers whose true load is known.
+
+The backend servers run in this process, so that the choice reads their
+state at the moment of the call, without any delay and at no cost.
+"""
+
+from asyncio import gather
+from collections import Counter
+from json import dumps
+from typing import Any, Self
+
+from aiohttp import ClientSession
+
+from bench.plans import Call
+from bench.processes import IP
+from bench.shapes import Shape
+from standins.backend import BackendStandIn
+from standins.backend_process import BackendProcess
+
+
+class KnownHost:
+    """A backend server in this process."""
+
+    def __init__(self, name: str, service: str, seed: int) -> None:
+        """Create it without listening."""
+        self.name = name
+        self.service = service
+        self.app = BackendStandIn(name, service_time_ms=None, seed=seed)
+        self.process = BackendProcess(self.app, IP, 0, 0)
+
+    def url(self, kind: str) -> str:
+        """Return the base URL of one of its ports."""
+        server = self.process.server
+        port = self.process.control.port if kind == 'control' else server.port
+        return f'http://{IP}:{port}'
+
+
+class KnownServers:
+    """The backend servers of a deployment, with global knowledge.
+
+    Args:
+        shape: The deployment.
+        seed: Seed of the servers.
+    """
+
+    def __init__(self, shape: Shape, seed: int) -> None:
+        """Create the servers without listening."""
+        self.shape = shape
+        self.in_flight_by_name = Counter[str]()
+        self.name_by_request_id: dict[str, str] = {}
+        self.hosts = [
+            KnownHost(f'{service}-{number + 1}', service, seed * 100 + number)
+            for service, count in shape.servers_by_service.items()
+            for number in range(count)
+        ]
+
+    async def __aenter__(self) -> Self:
+        """Open all ports."""
+        self.session = ClientSession()
+        await gather(*(host.process.open() for host in self.hosts))
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        """Close all ports."""
+        await self.session.close()
+        await gather(*(host.process.close() for host in self.hosts))
+
+    async def order(
+        self, host: KnownHost, path: str, document: Any = None
+    ) -> Any:
+        """Send an order to a backend server's control port."""
+        async with self.session.post(
+            f'{host.url("control")}{path}', data=dumps(document or {})
+        ) as response:
+            response.raise_for_status()
+            return await response.json()
+
+    async def judge(self, host: KnownHost) -> dict[str, Any]:
+        """Read what a backend server counted."""
+        async with self.session.get(f'{host.url("control")}/judge') as response:
+            return dict(await response.json())
+
+    async def judge_all(self) -> list[dict[str, Any]]:
+        """Read what all backend servers counted."""
+        return list(await gather(*(map(self.judge, self.hosts))))
+
+    def route(self, call: Call) -> str:
+        """Choose the server at which the call ends first."""
+        fit = [
+            host
+            for host in self.hosts
+            if host.service == call.kind.service and can_serve(host)
+        ]
+        chosen = min(fit, key=self.estimate)
+        self.in_flight_by_name[chosen.name] += 1
+        self.name_by_request_id[call.request_id] = chosen.name
+        return chosen.url('server')
+
+    def note_end(self, call: Call) -> None:
+        """Note that a call ended."""
+        name = self.name_by_request_id.pop(call.request_id, '')
+        self.in_flight_by_name[name] -= 1
+
+    def estimate(self, host: KnownHost) -> tuple[float, int]:
+        """Estimate the time to an answer, in service times."""
+        app = host.app
+        own = self.in_flight_by_name[host.name]
+        on_the_way = max(0, own - app.running - app.queued)
+        waiting = max(0, app.demand + on_the_way + 1 - app.slot_count)
+        return app.slowness() * (1 + waiting / app.slot_count), own
+
+
+def can_serve(host: KnownHost) -> bool:
+    """Tell whether a server takes new work and does not fail."""
+    return not host.app.draining and host.app.faults.fail_fast < 1
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -277,6 +277,10 @@
         async with self.session.get(f'{host.url("control")}/judge') as response:
             return dict(await response.json())
 
+    async def judge_all(self) -> list[dict[str, Any]]:
+        """Read what all backend servers counted."""
+        return list(await gather(*(map(self.judge, self.hosts))))
+
 
 def count_serving(status: dict[str, Any]) -> int:
     """Count the members to which a daemon may send new work."""
--- a/bench/judges.py
+++ b/bench/judges.py
@@ -65,7 +65,9 @@
     return float(spent_ms / (slots * seconds * 1000))
 
 
-def share_extra(judgements: list[Judgement]) -> float:
+def share_extra(outcomes: list[Outcome], judgements: list[Judgement]) -> float:
     """Return runs beyond the first of each request, as a share."""
     runs = count_runs(judgements)
-    return (runs.total() - len(runs)) / len(runs) if runs else 0
+    counts = [runs[outcome.call.request_id] for outcome in outcomes]
+    ran = [count for count in counts if count]
+    return sum(ran) / len(ran) - 1 if ran else 0
--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,156 @@
+"""Measurements: ``python -m bench.measure``; writes docs/measurements.md."""
+
+from asyncio import run
+from collections import defaultdict
+from os import cpu_count, getloadavg
+from pathlib import Path
+from shlex import join
+from sys import argv
+from time import monotonic
+from typing import Final
+
+from cyclopts import App
+
+from bench.bound import KnownServers
+from bench.cells import (
+    BOUND,
+    Added,
+    Cell,
+    measure_added,
+    merge_runs,
+    run_cell,
+)
+from bench.fleet import Fleet
+from bench.report import Conditions, find_misses, plot_p99, write_page
+from bench.scenarios import SCENARIOS
+from bench.shapes import ASSINIBOINE, SHAPES_BY_NAME, TINAJAS, Shape
+from bergamotshunt.decisions.choosing import CHOOSERS
+
+PAGE: Final = 'measurements.md'
+PLOT: Final = 'measurements.svg'
+SEEDS_A_CELL: Final = 10
+
+app = App(name='bench.measure', help='Measure policies under scenarios.')
+CellsByName = dict[tuple[str, str, str], list[Cell]]
+
+
+class Plan:
+    """What is measured, and what was measured so far."""
+
+    def __init__(
+        self,
+        scenarios: tuple[str, ...],
+        seconds: float,
+        seed: int,
+        runs: int,
+    ) -> None:
+        """Plan without running."""
+        self.scenarios = scenarios
+        self.seconds = seconds
+        self.seed = seed
+        self.runs = runs
+        self.cells_by_name: CellsByName = defaultdict(list)
+        self.added: list[Added] = []
+
+    async def run_scenarios(
+        self, ground: Fleet | KnownServers, policy: str
+    ) -> None:
+        """Run all scenarios under one policy."""
+        for repeat in range(self.runs):
+            for name in self.scenarios:
+                # All policies get the same arrivals.
+                number = SCENARIOS.names().index(name) + 1
+                seed = (self.seed * 100 + repeat) * 100 + number * SEEDS_A_CELL
+                cell = await run_cell(ground, name, policy, self.seconds, seed)
+                self.cells_by_name[cell[:3]].append(cell)
+                print(
+                    f'{cell.shape:12} {policy:18} {name:16} '
+                    f'p50 {cell.p50_ms:7.1f} p99 {cell.p99_ms:7.1f} '
+                    f'in time {cell.in_time:.4f} extra {cell.extra:.4f} '
+                    f'violations {cell.violations}',
+                    flush=True,
+                )
+
+    async def run_policy(self, shape: Shape, policy: str) -> None:
+        """Run all scenarios on a new fleet with a chooser."""
+        settings = {'calls': {'chooser': policy}}
+        async with Fleet(shape, self.seed, settings) as fleet:
+            self.added.append(await measure_added(fleet, policy))
+            await self.run_scenarios(fleet, policy)
+
+    async def run_bound(self, shape: Shape) -> None:
+        """Run all scenarios with true load known to the sender."""
+        async with KnownServers(shape, self.seed) as servers:
+            await self.run_scenarios(servers, BOUND)
+
+    def merge(self) -> list[Cell]:
+        """Return one cell for each name, scenario by scenario."""
+        merged = [merge_runs(cells) for cells in self.cells_by_name.values()]
+        return sorted(
+            merged,
+            key=lambda cell: (
+                cell.shape,
+                self.scenarios.index(cell.scenario),
+                cell.policy == BOUND,
+                cell.policy,
+            ),
+        )
+
+
+async def measure(
+    plan: Plan, shapes: list[Shape], policies: tuple[str, ...]
+) -> None:
+    """Measure all cells of a plan."""
+    for shape in shapes:
+        await plan.run_bound(shape)
+        for policy in policies:
+            await plan.run_policy(shape, policy)
+
+
+@app.default
+def main(
+    *,
+    deployment: list[str] | None = None,
+    scenario: list[str] | None = None,
+    policy: list[str] | None = None,
+    seconds: float = 5,
+    seed: int = 1,
+    runs: int = 1,
+    out: Path = Path('docs'),
+) -> None:
+    """Measure and write the page and the plot.
+
+    Args:
+        deployment: Deployments; tinajas and assiniboine by default.
+        scenario: Scenarios; all by default.
+        policy: Choosers; all registered ones by default.
+        seconds: Length of one run of a cell.
+        seed: Seed of arrivals and service times.
+        runs: Runs of each cell.
+        out: Folder of the page and the plot.
+    """
+    started_at = monotonic()
+    load = getloadavg()[0]
+    shapes = [SHAPES_BY_NAME[name] for name in deployment or ()]
+    scenarios = tuple(scenario or SCENARIOS.names())
+    plan = Plan(scenarios, seconds, seed, runs)
+    policies = tuple(policy or CHOOSERS.names())
+    run(measure(plan, shapes or [TINAJAS, ASSINIBOINE], policies))
+    cells = plan.merge()
+    conditions = Conditions(
+        join(('python', '-m', 'bench.measure', *argv[1:])),
+        seconds,
+        runs,
+        seed,
+        f'{cpu_count()} cores with a load average of {load:.1f} at the start',
+    )
+    out.mkdir(parents=True, exist_ok=True)
+    plot_p99(cells, out / PLOT)
+    page = write_page(cells, plan.added, conditions, PLOT)
+    (out / PAGE).write_text(page, encoding='utf-8')
+    print(f'{len(cells)} cells, {len(find_misses(cells))} misses')
+    print(f'{monotonic() - started_at:.0f} s; page: {out / PAGE}')
+
+
+if __name__ == '__main__':
+    app()
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -106,6 +106,11 @@
         """Return the number of slots in use, by requests or neighbours."""
         return self.slot_count - self.slots._value
 
+    @property
+    def demand(self) -> int:
+        """Return the number of slots in use or waited for."""
+        return self.busy + len(self.slots._waiters or ())
+
     def slowness(self) -> float:
         """Return the factor on service times of this moment."""
         factor = self.faults.straggle
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -6,6 +6,7 @@
 from logging import getLogger
 from socket import (
     AF_INET,
+    IPPROTO_TCP,
     SO_LINGER,
     SO_REUSEADDR,
     SOCK_STREAM,
@@ -113,7 +114,8 @@
         """Listen; the first call may pick the port."""
         if self._listener is not None:
             return
-        bound = socket(AF_INET, SOCK_STREAM)
+        # asyncio sets TCP_NODELAY only where the protocol is stated.
+        bound = socket(AF_INET, SOCK_STREAM, IPPROTO_TCP)
         bound.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
         bound.bind((self.ip, self.port))
         self.port = bound.getsockname()[1]
