Add link stand-ins that cut, delay, hold and duplicate

Cause: faults of a link, and steps of a request between two processes, could not be produced. Ruled out: dropping bytes of a TCP connection, which TCP would send again; a cut holds them until the link is mended, so that late requests and answers arrive.

Change: a TCP relay that replays whole recorded requests on a second connection and holds a piece that contains a marker, and a UDP relay. The fleet no longer synchronizes members every second, since SWIM does it.

Conclusion: a fault can be put at a chosen step of a request.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -178,7 +178,6 @@
             },
             'platform': {'urls': f'http://{IP}:{self.platform_port}'},
             'operators': OPERATORS,
-            'membership': {'sync_interval_s': 1},
         }
         for kind in ('callers', 'peers', 'admin', 'gossip'):
             sections['daemon'][f'{kind}_port'] = host.ports_by_kind[kind]
--- /dev/null
+++ b/standins/link.py
@@ -0,0 +1,273 @@
+"""Stand-in for a network link: relays that cut, delay, hold and duplicate.
+
+``TcpLink`` and ``UdpLink`` relay on loopback to one target. As a process:
+``python -m standins.link --target-port N``; ``POST /control`` sets the
+fields of ``LinkFaults``.
+"""
+
+from argparse import ArgumentParser
+from asyncio import (
+    CancelledError,
+    Event,
+    StreamReader,
+    StreamWriter,
+    create_task,
+    gather,
+    open_connection,
+    run,
+    sleep,
+    start_server,
+    wait,
+)
+from asyncio import Task as AsyncioTask
+from json import dumps
+from typing import Any, Final, NamedTuple
+
+from httptools import HttpParserError, HttpRequestParser
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from bergamotshunt.web import HttpServer
+
+CHUNK_BYTES: Final = 65_536
+MS_PER_S: Final = 1000
+
+
+class LinkFaults(NamedTuple):
+    """Faults of a link; ``to`` is towards the target.
+
+    Bytes on a cut link wait until it is mended, as TCP sends them again.
+
+    Attributes:
+        cut_to: Whether nothing passes towards the target.
+        cut_from: Whether nothing passes back.
+        delay_ms: Time that each piece is held up, both ways.
+        duplicate: Whether whole requests are sent twice.
+    """
+
+    cut_to: bool = False
+    cut_from: bool = False
+    delay_ms: float = 0
+    duplicate: bool = False
+
+
+class Gate:
+    """Holds the piece that contains a marker, until it is released.
+
+    Attributes:
+        held: Set once the piece arrived.
+        released: Set to let it pass.
+    """
+
+    def __init__(self, direction: str, marker: bytes, *, half: bool) -> None:
+        """Create a closed gate; ``half`` passes half of the piece."""
+        self.direction = direction
+        self.marker = marker
+        self.half = half
+        self.held = Event()
+        self.released = Event()
+
+
+class RequestRecorder:
+    """Keeps the bytes of the current HTTP request of a connection."""
+
+    def __init__(self) -> None:
+        """Start at a request's first byte."""
+        self.recorded = b''
+        self.complete = False
+        self.parser: Any = HttpRequestParser(self)
+
+    def on_message_complete(self) -> None:
+        """Note the end of a request (called by the parser)."""
+        self.complete = True
+
+    def feed(self, piece: bytes) -> bytes:
+        """Add bytes; return the whole request when it ended."""
+        self.recorded += piece
+        try:
+            self.parser.feed_data(piece)
+        except HttpParserError:
+            return b''
+        if not self.complete:
+            return b''
+        request, self.recorded, self.complete = self.recorded, b'', False
+        return request
+
+
+class TcpLink:
+    """Relays TCP connections to one port.
+
+    Args:
+        target_port: Port on ``ip``.
+        ip: IP number of both ends.
+        port: Port to listen on; 0 asks the operating system for one.
+    """
+
+    def __init__(
+        self, target_port: int, ip: str = '127.0.0.1', port: int = 0
+    ) -> None:
+        """Create the link without listening."""
+        self.ip = ip
+        self.target_port = target_port
+        self.port = port
+        self.faults = LinkFaults()
+        self.gates: list[Gate] = []
+        self.mended = Event()
+        self.duplicated = 0
+        self._writers: set[StreamWriter] = set()
+        self._tasks: set[AsyncioTask[Any]] = set()
+
+    async def open(self) -> None:
+        """Listen."""
+        self._server = await start_server(self.relay, self.ip, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+        self.sever()
+        await gather(*self._tasks, return_exceptions=True)
+
+    def change_faults(self, **changes: Any) -> None:
+        """Put faults in force; those not named stay as they are."""
+        self.faults = self.faults._replace(**changes)
+        self.mended.set()
+        self.mended = Event()
+
+    def sever(self) -> None:
+        """Reset all connections."""
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def add_gate(
+        self, direction: str, marker: bytes, *, half: bool = False
+    ) -> Gate:
+        """Hold the next piece with a marker; see ``Gate``."""
+        gate = Gate(direction, marker, half=half)
+        self.gates.append(gate)
+        return gate
+
+    def open_gates(self) -> None:
+        """Release and forget all gates."""
+        for gate in self.gates:
+            gate.released.set()
+        self.gates.clear()
+
+    async def relay(self, reader: StreamReader, writer: StreamWriter) -> None:
+        """Relay one connection until either end closes it."""
+        self._writers.add(writer)
+        try:
+            target = await open_connection(self.ip, self.target_port)
+        except OSError:
+            writer.transport.abort()
+            self._writers.discard(writer)
+            return
+        self._writers.add(target[1])
+        pumps = (
+            create_task(self.pump('to', reader, target[1])),
+            create_task(self.pump('from', target[0], writer)),
+        )
+        self._tasks.update(pumps)
+        try:
+            await wait(pumps, return_when='FIRST_COMPLETED')
+        except CancelledError:
+            # The loop ends; asyncio would log this as an error.
+            return
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            self._tasks.difference_update(pumps)
+            for end in (writer, target[1]):
+                end.close()
+                self._writers.discard(end)
+
+    async def pump(
+        self, direction: str, reader: StreamReader, writer: StreamWriter
+    ) -> None:
+        """Relay one direction of a connection."""
+        recorder = RequestRecorder()
+        try:
+            while piece := await reader.read(CHUNK_BYTES):
+                await self.hold_up(direction)
+                piece = await self.pass_gates(direction, piece, writer)
+                writer.write(piece)
+                await writer.drain()
+                if direction == 'to':
+                    self.repeat(recorder.feed(piece))
+        except OSError:
+            return
+
+    async def hold_up(self, direction: str) -> None:
+        """Wait while the direction is cut, and for the delay."""
+        while getattr(self.faults, f'cut_{direction}'):
+            await self.mended.wait()
+        if self.faults.delay_ms:
+            await sleep(self.faults.delay_ms / MS_PER_S)
+
+    async def pass_gates(
+        self, direction: str, piece: bytes, writer: StreamWriter
+    ) -> bytes:
+        """Wait at a gate whose marker is in the piece; return what is left."""
+        for gate in tuple(self.gates):
+            if gate.direction == direction and gate.marker in piece:
+                if gate.half:
+                    middle = len(piece) // 2
+                    writer.write(piece[:middle])
+                    await writer.drain()
+                    piece = piece[middle:]
+                gate.held.set()
+                await gate.released.wait()
+        return piece
+
+    def repeat(self, request: bytes) -> None:
+        """Send a whole request again on a connection of its own."""
+        if request and self.faults.duplicate:
+            self.duplicated += 1
+            task = create_task(self.send_again(request))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def send_again(self, request: bytes) -> None:
+        """Send a recorded request and drop its answer."""
+        try:
+            reader, writer = await open_connection(self.ip, self.target_port)
+        except OSError:
+            return
+        self._writers.add(writer)
+        try:
+            writer.write(request)
+            await reader.read(CHUNK_BYTES)
+        except OSError:
+            return
+        finally:
+            writer.close()
+            self._writers.discard(writer)
+
+
+async def serve(target_port: int, port: int, control_port: int) -> None:
+    """Relay until the process is ended; print the ports as JSON."""
+    link = TcpLink(target_port, port=port)
+
+    async def control(request: Request) -> JSONResponse:
+        link.change_faults(**await request.json())
+        return JSONResponse(link.faults._asdict())
+
+    routes = [Route('/control', control, methods=['POST'])]
+    server = HttpServer(Starlette(routes=routes), link.ip, control_port)
+    await link.open()
+    await server.open()
+    print(dumps({'port': link.port, 'control': server.port}), flush=True)
+    await Event().wait()
+
+
+if __name__ == '__main__':
+    parser = ArgumentParser(prog='python -m standins.link')
+    parser.add_argument('--target-port', type=int, required=True)
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--control-port', type=int, default=0)
+    options = parser.parse_args()
+    run(serve(options.target_port, options.port, options.control_port))
--- /dev/null
+++ b/standins/udp_link.py
@@ -0,0 +1,94 @@
+"""Stand-in for a network link that relays datagrams."""
+
+from asyncio import (
+    DatagramProtocol,
+    DatagramTransport,
+    get_running_loop,
+)
+from typing import Any
+
+from standins.link import MS_PER_S, LinkFaults
+
+Address = tuple[str, int]
+
+
+class UdpLink(DatagramProtocol):
+    """Relays datagrams to one port and the replies back.
+
+    Each sender gets a socket of its own towards the target, so that
+    replies find their way back. Datagrams on a cut link are lost.
+    """
+
+    def __init__(self, target_port: int, ip: str = '127.0.0.1') -> None:
+        """Create the link without a socket."""
+        self.ip = ip
+        self.target_port = target_port
+        self.port = 0
+        self.dropped = 0
+        self.faults = LinkFaults()
+        self.senders: dict[Address, DatagramTransport] = {}
+        self.transport: Any = None
+
+    async def open(self) -> None:
+        """Bind the port."""
+        self.transport, _ = await get_running_loop().create_datagram_endpoint(
+            lambda: self, local_addr=(self.ip, 0)
+        )
+        self.port = self.transport.get_extra_info('sockname')[1]
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self.transport.close()
+        for sender in self.senders.values():
+            sender.close()
+
+    def change_faults(self, **changes: Any) -> None:
+        """Put faults in force; those not named stay as they are."""
+        self.faults = self.faults._replace(**changes)
+
+    def datagram_received(self, content: bytes, source: Address) -> None:
+        """Relay a datagram towards the target."""
+        if self.faults.cut_to:
+            self.dropped += 1
+        else:
+            get_running_loop().create_task(self.forward(content, source))
+
+    async def forward(self, content: bytes, source: Address) -> None:
+        """Send a datagram from the socket of its sender."""
+        if source not in self.senders:
+            loop = get_running_loop()
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda: Replies(self, source),
+                remote_addr=(self.ip, self.target_port),
+            )
+            self.senders[source] = transport
+        self.emit(self.senders[source], content, None)
+
+    def emit(
+        self,
+        transport: DatagramTransport,
+        content: bytes,
+        target: Address | None,
+    ) -> None:
+        """Send a datagram once or twice, after the delay."""
+        for _ in range(1 + self.faults.duplicate):
+            get_running_loop().call_later(
+                self.faults.delay_ms / MS_PER_S,
+                transport.sendto,
+                content,
+                target,
+            )
+
+
+class Replies(DatagramProtocol):
+    """Relays replies to one sender."""
+
+    def __init__(self, link: UdpLink, source: Address) -> None:
+        """Remember the sender."""
+        self.link = link
+        self.source = source
+
+    def datagram_received(self, content: bytes, _addr: Address) -> None:
+        """Relay a reply."""
+        if not self.link.faults.cut_from:
+            self.link.emit(self.link.transport, content, self.source)
