--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -178,7 +178,6 @@
             },
             'platform': {'urls': f'http://{IP}:{self.platform_port}'},
             'operators': OPERATORS,
-            'membership': {'sync_interval_s': 1},
         }
         for kind in ('callers', 'peers', 'admin', 'gossip'):
             sections['daemon'][f'{kind}_port'] = host.ports_by_kind[kind]
@@ -277,6 +276,10 @@
         async with self.session.get(f'{host.url("control")}/judge') as response:
             return dict(await response.json())
 
+    async def judge_all(self) -> list[dict[str, Any]]:
+        """Read what all backend servers counted."""
+        return list(await gather(*(map(self.judge, self.hosts))))
+
 
 def count_serving(status: dict[str, Any]) -> int:
     """Count the members to which a daemon may send new work."""
