Join through seed lists in the platform, and test membership

Cause: without known peers in its settings a daemon could not join, and the membership had no test on real sockets.

Change: the seeds task keeps up to 8 daemons per availability zone in the platform by compare-and-swap. A daemon that is alone tries seeds it has not tried before it writes; of the joined ones only the two that rendezvous hashing chooses look again, every 5 minutes. Known peers and seeds that are no live members are tried again at each exchange of tables. A state machine over pure member states (loss, reordering, cuts, pauses, restarts with a clock that is behind), and tests of tasks over loopback.

Ruled out: writing as soon as the list has room (32 writes instead of 4 when 90 hosts start at once); meeting dead members only at their old addresses (the state machine found two parts that never met after both had restarted on new ports, which known peers now join).

--- /dev/null
+++ b/bench/gossip_daemons.py
@@ -0,0 +1,131 @@
+"""Gossip tasks with a peers port each, many in one process."""
+
+from asyncio import Queue, create_task, gather, timeout
+from collections.abc import Callable
+from random import Random
+from time import monotonic
+from typing import Any
+
+from bergamotshunt.kernel import (
+    Context,
+    Envelope,
+    Mailbox,
+    Post,
+    load_plugins,
+)
+from bergamotshunt.members import ServerState
+from bergamotshunt.messages import PortBound, ServerStateChanged
+from bergamotshunt.peer_api import PEER_ENDPOINTS
+from bergamotshunt.plugins.gossip import GossipTask
+from bergamotshunt.settings import (
+    BackendServerSettings,
+    DaemonSettings,
+    MembershipSettings,
+    Settings,
+)
+from bergamotshunt.web import HttpServer, read_body, send_whole
+
+IP = '127.0.0.1'
+MAX_BODY_BYTES = 16_000_000
+SETTLE_S = 60
+
+
+class GossipDaemon:
+    """One gossip task and the peers port that the guard would own.
+
+    Args:
+        name: Daemon id.
+        membership: Times of the protocol.
+        known_peers: Peers ports to join by.
+        process_id: Start time in ms.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        membership: MembershipSettings,
+        known_peers: tuple[str, ...] = (),
+        process_id: int = 1_700_000_000_000,
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        """Create the task; ``open`` binds its ports."""
+        load_plugins()
+        self.name = name
+        self.context = Context(
+            Settings(
+                daemon=DaemonSettings(
+                    id=name,
+                    ip=IP,
+                    availability_zone=f'zone-{len(name) % 3}',
+                    known_peers=known_peers,
+                ),
+                backend_server=BackendServerSettings('jar-ledger', 'x'),
+                membership=membership,
+            ),
+            Post(),
+            Random(name),
+            process_id,
+            clock,
+        )
+        self.gossip = GossipTask(self.context)
+        self.http = HttpServer(self.serve, IP, 0)
+
+    @property
+    def peer(self) -> str:
+        """The peers port as ``IP:port``."""
+        return f'{IP}:{self.http.port}'
+
+    def subscribe(self, *message_types: type) -> Mailbox:
+        """Return a mailbox that gets the messages of these types."""
+        mailbox: Mailbox = Queue()
+        for message_type in message_types:
+            self.context.post.subscribe(message_type, mailbox)
+        return mailbox
+
+    async def open(self) -> None:
+        """Start the task and the port."""
+        await self.http.open()
+        await self.gossip.open()
+        self.loop = create_task(self.gossip.run())
+        self.context.post.publish(PortBound('peers', self.http.port))
+        self.context.post.publish(ServerStateChanged(ServerState.SERVING))
+        await self.gossip.start()
+
+    async def serve(self, scope: Any, receive: Any, send: Any) -> None:
+        """Hand a request to its endpoint (ASGI)."""
+        body = await read_body(receive, MAX_BODY_BYTES)
+        endpoint = PEER_ENDPOINTS.get(scope['path'])
+        answer = await endpoint(self.context.post, body)
+        await send_whole(send, 200, [], answer)
+
+    async def close(self) -> None:
+        """Leave the fleet and close the ports."""
+        await self.gossip.close()
+        self.loop.cancel()
+        await gather(self.loop, return_exceptions=True)
+        await self.http.close()
+
+    async def crash(self) -> None:
+        """End without a word to the peers."""
+        self.gossip.udp.close()
+        await self.close()
+
+    def knows(self, names: set[str]) -> bool:
+        """Tell whether exactly these members count as running here."""
+        table = self.gossip.members.table
+        return table.live_count == len(names) and all(
+            map(table.is_live, names),
+        )
+
+
+async def wait_until(
+    mailbox: Mailbox,
+    is_met: Callable[[Any], bool],
+    limit_s: float = SETTLE_S,
+) -> Any:
+    """Read messages until one meets the condition, and return it."""
+    async with timeout(limit_s):
+        while True:
+            envelope: Envelope = await mailbox.get()
+            if is_met(envelope.message):
+                return envelope.message
--- /dev/null
+++ b/bergamotshunt/decisions/seeding.py
@@ -0,0 +1,119 @@
+"""Seeding: who reads and writes a zone's seed list, and what is in it.
+
+The platform's calls depend on the number of zones and of starting
+daemons, not on the size of the fleet: of those that have joined, only the
+two that rendezvous hashing chooses in each zone look at the list again.
+"""
+
+from collections.abc import Collection, Iterable, Mapping
+from random import Random
+from typing import Final, NamedTuple
+
+from xxhash import xxh64_intdigest
+
+from bergamotshunt.members import Member, is_live
+
+MOST_SEEDS: Final = 8
+KEEPERS_PER_ZONE: Final = 2
+
+
+class Seed(NamedTuple):
+    """One daemon of a seed list."""
+
+    daemon_id: str
+    ip: str
+    peers_port: int
+
+
+class SeedTimes(NamedTuple):
+    """When the platform is asked.
+
+    Attributes:
+        first_read_s: The first read is spread over this time: if all
+            7,200 daemons start at once, that is 1,800 reads a second.
+        first_read_known_s: The same with known peers in the settings,
+            which usually make the read unnecessary.
+        retry_s: First pause of a daemon that knows no other one.
+        longest_retry_s: Its longest pause; at 7,200 daemons that start
+            while the platform is down, about 320 reads a second.
+        keep_s: Pause between two looks of a daemon that has joined.
+    """
+
+    first_read_s: float = 4
+    first_read_known_s: float = 20
+    retry_s: float = 2
+    longest_retry_s: float = 30
+    keep_s: float = 300
+
+
+def first_pause_s(times: SeedTimes, has_peers: bool, rng: Random) -> float:
+    """Return the time from the start to the first read."""
+    if has_peers:
+        return times.first_read_known_s * rng.uniform(0.5, 1)
+    return times.first_read_s * rng.random()
+
+
+def retry_pause_s(times: SeedTimes, attempt: int, rng: Random) -> float:
+    """Return the pause of a daemon that still knows no other one."""
+    longest = min(times.longest_retry_s, times.retry_s * 2**attempt)
+    return longest * rng.uniform(0.5, 1)
+
+
+def keep_pause_s(times: SeedTimes, rng: Random) -> float:
+    """Return the pause of a daemon that has joined."""
+    return times.keep_s * rng.uniform(0.8, 1.2)
+
+
+def rank(daemon_id: str, key: str) -> int:
+    """Return the rendezvous hash of a daemon for a key."""
+    return xxh64_intdigest(f'{key}|{daemon_id}'.encode())
+
+
+def live_ids_of_zone(members: Iterable[Member], zone: str) -> list[str]:
+    """Return the daemons of a zone that count as running."""
+    return [
+        member.daemon_id
+        for member in members
+        if member.availability_zone == zone and is_live(member)
+    ]
+
+
+def is_keeper(own_id: str, ids: Collection[str], zone: str) -> bool:
+    """Tell whether this daemon looks after the seed list of its zone."""
+    own_rank = rank(own_id, zone)
+    better = sum(rank(daemon_id, zone) > own_rank for daemon_id in ids)
+    return better < KEEPERS_PER_ZONE
+
+
+def revise(
+    held: Iterable[Seed],
+    members_by_id: Mapping[str, Member],
+    own: Member,
+    tried: Collection[Seed],
+) -> tuple[Seed, ...]:
+    """Return the list that a zone should have.
+
+    Seeds that are known to be gone make room. Unknown seeds may belong to
+    a part of the fleet that this daemon has not met, so they stay until it
+    tried them in vain.
+    """
+    zone = own.availability_zone
+    seeds_by_id = {
+        seed.daemon_id: seed
+        for seed in held
+        if seed.daemon_id not in members_by_id and seed not in tried
+    }
+    live_ids = live_ids_of_zone(members_by_id.values(), zone)
+    live_ids.sort(key=lambda daemon_id: rank(daemon_id, zone), reverse=True)
+    held_ids = {seed.daemon_id for seed in held}
+    # Live seeds stay: a list that changes less is written less.
+    live_ids.sort(key=lambda daemon_id: daemon_id not in held_ids)
+    for daemon_id in live_ids:
+        if len(seeds_by_id) < MOST_SEEDS:
+            seeds_by_id[daemon_id] = create_seed(members_by_id[daemon_id])
+    return tuple(seeds_by_id.values())
+
+
+def create_seed(member: Member) -> Seed:
+    """Return the entry of a member."""
+    return Seed(member.daemon_id, member.ip, member.peers_port)
--- a/bergamotshunt/plugins/gossip.py
+++ b/bergamotshunt/plugins/gossip.py
@@ -139,25 +139,37 @@
                 await wait_for(self.woken.wait(), pause_s)
 
     async def synchronize(self) -> bool:
-        """Exchange tables with one peer.
+        """Exchange tables with a live member and a known peer that is not.
+
+        Parts of the fleet that do not know each other's members at their
+        present addresses merge through the known peers.
 
         Returns:
-            Whether a peer answered, or no other daemon is known at all.
+            Whether a peer answered, or there was none to ask.
         """
-        daemon = self.settings.daemon
-        live = self.swim.composer.order.sample(
-            1,
-            self.swim.composer.is_peer,
-        )
+        composer = self.swim.composer
+        live = composer.order.sample(1, composer.is_peer)
         peers = [self.sync.address_of(daemon_id) for daemon_id in live]
-        if not peers:
-            configured = [*daemon.known_peers, *self.seeds]
-            peers = [peer for peer in configured if not self.is_own(peer)]
-            self.context.rng.shuffle(peers)
+        strangers = self.strangers()
+        peers += strangers[:1] if peers else strangers
+        reached = False
         for peer in peers:
-            if await self.synchronize_with(peer):
-                return True
-        return not peers
+            reached = await self.synchronize_with(peer) or reached
+            if reached and not live:
+                break
+        return reached or not peers
+
+    def strangers(self) -> list[str]:
+        """Return the known peers and seeds that are no live members."""
+        live = {
+            self.sync.address_of(daemon_id)
+            for daemon_id in self.members.table.by_id
+            if self.members.table.is_live(daemon_id)
+        }
+        peers = {*self.settings.daemon.known_peers, *self.seeds}
+        strangers = sorted(peers - live)
+        self.context.rng.shuffle(strangers)
+        return strangers
 
     async def synchronize_with(self, peer: str) -> bool:
         """Exchange tables with a peer (``IP:port``)."""
@@ -169,10 +181,6 @@
         self.tell_changes()
         return True
 
-    def is_own(self, peer: str) -> bool:
-        """Tell whether ``IP:port`` is this daemon's own peers port."""
-        return peer == f'{self.members.own.ip}:{self.members.own.peers_port}'
-
     # Datagrams.
 
     def read_datagram(self, content: bytes, source: Endpoint) -> None:
--- a/bergamotshunt/plugins/gossip_handlers.py
+++ b/bergamotshunt/plugins/gossip_handlers.py
@@ -28,6 +28,8 @@
 REQUESTS: Final = Decoder(SyncRequest)
 # A status document of all 7,200 members would be about 2 MB.
 MOST_DESCRIBED: Final = 500
+# Seeds that are met at the same time.
+MOST_MEETINGS: Final = 3
 
 
 @HANDLERS.on(SyncMembers)
@@ -44,19 +46,14 @@
 
 @HANDLERS.on(SeedsLearned)
 def note_seeds(task: GossipTask, message: SeedsLearned) -> None:
-    """Try peers from the seed lists, now if no other daemon is known."""
+    """Meet daemons of the seed lists that this daemon does not know.
+
+    So a daemon joins, and parts of the fleet that started apart merge.
+    """
     task.seeds = message.peers
-    known = {
-        task.sync.address_of(daemon_id)
-        for daemon_id, member in task.members.table.by_id.items()
-        if task.members.table.is_live(daemon_id)
-    }
-    strangers = [peer for peer in message.peers if peer not in known]
-    if len(known) == 1:
-        task.woken.set()
-    elif strangers:
-        # Parts of the fleet that started apart find each other here.
-        peer = task.context.rng.choice(strangers)
+    strangers = set(task.strangers())
+    found = [peer for peer in message.peers if peer in strangers]
+    for peer in found[:MOST_MEETINGS]:
         task.spawn(task.synchronize_with(peer))
 
 
--- /dev/null
+++ b/bergamotshunt/plugins/seeds.py
@@ -0,0 +1,205 @@
+"""Seeds: a short list of daemons per availability zone in the platform."""
+
+from asyncio import sleep
+from collections.abc import Set as AbstractSet
+from typing import Any, Final
+
+from msgspec import DecodeError
+from msgspec.json import Decoder, encode
+from returns.result import Result, Success
+
+from bergamotshunt.decisions.seeding import (
+    Seed,
+    SeedTimes,
+    first_pause_s,
+    is_keeper,
+    keep_pause_s,
+    live_ids_of_zone,
+    retry_pause_s,
+    revise,
+)
+from bergamotshunt.kernel import (
+    PLUGINS,
+    Context,
+    HandlerTable,
+    NoHandlerError,
+    Task,
+)
+from bergamotshunt.log import log_event
+from bergamotshunt.members import Member, is_live
+from bergamotshunt.messages import (
+    DescribeTask,
+    MembersChanged,
+    SeedsLearned,
+    StoreCommit,
+    StoreEntry,
+    StoreFailure,
+    StoreGet,
+    StorePut,
+)
+
+HANDLERS: Final = HandlerTable()
+SEEDS_KEY: Final = 'seeds/'
+SEED_LISTS: Final = Decoder(tuple[Seed, ...])
+
+
+class SeedsTask(Task):
+    """Reads the seed lists and keeps the one of its zone."""
+
+    name = 'seeds'
+    handlers = HANDLERS
+
+    def __init__(self, context: Context) -> None:
+        """Create the task; it knows no member yet."""
+        super().__init__(context)
+        self.times = SeedTimes()
+        self.members_by_id: dict[str, Member] = {}
+        self.zone = context.settings.daemon.availability_zone
+        self.reads = 0
+        self.writes = 0
+        self.tried: frozenset[Seed] = frozenset()
+
+    async def start(self) -> None:
+        """Start to look at the seed lists."""
+        self.spawn(self.run_looks())
+
+    async def run_looks(self) -> None:
+        """Look at the seed lists, seldom once this daemon has joined."""
+        rng = self.context.rng
+        has_peers = bool(self.settings.daemon.known_peers)
+        await sleep(first_pause_s(self.times, has_peers, rng))
+        attempt = 0
+        while True:
+            if self.is_alone():
+                await self.look()
+                pause_s = retry_pause_s(self.times, attempt, rng)
+                attempt += 1
+            else:
+                attempt = 0
+                pause_s = keep_pause_s(self.times, rng)
+                if self.is_keeper():
+                    await self.look()
+            await sleep(pause_s)
+
+    def is_alone(self) -> bool:
+        """Tell whether no other running daemon is known."""
+        return sum(map(is_live, self.members_by_id.values())) <= 1
+
+    def is_keeper(self) -> bool:
+        """Tell whether this daemon looks after its zone's list."""
+        ids = live_ids_of_zone(self.members_by_id.values(), self.zone)
+        return is_keeper(self.settings.daemon.id, ids, self.zone)
+
+    async def look(self) -> None:
+        """Read all seed lists; put this zone's in order if needed."""
+        self.reads += 1
+        outcome = await self.ask_store(StoreGet(SEEDS_KEY, prefix=True))
+        match outcome:
+            case Success(entries):
+                await self.take(entries)
+
+    async def take(self, entries: tuple[StoreEntry, ...]) -> None:
+        """Tell gossip the seeds and write the list if it should differ.
+
+        A daemon that knows no other one tries new seeds before it writes.
+        When all daemons of a zone start at once, the first that finds
+        nothing to try writes, and those that read later join through it.
+        """
+        seeds_by_key = {entry.key: read_seeds(entry) for entry in entries}
+        found = {seed for seeds in seeds_by_key.values() for seed in seeds}
+        tried = self.tried
+        self.tried = frozenset(found)
+        self.publish_seeds(found, tried)
+        own = self.members_by_id.get(self.settings.daemon.id)
+        if own is None or not own.peers_port:
+            return
+        if self.is_alone() and has_strangers(found, tried, own):
+            return
+        key = f'{SEEDS_KEY}{self.zone}'
+        held = seeds_by_key.get(key, ())
+        wanted = revise(held, self.members_by_id, own, tried)
+        if set(wanted) != set(held):
+            revision = max(
+                (entry.mod_revision for entry in entries if entry.key == key),
+                default=0,
+            )
+            await self.write(key, revision, wanted)
+
+    def publish_seeds(
+        self,
+        found: AbstractSet[Seed],
+        tried: AbstractSet[Seed],
+    ) -> None:
+        """Tell gossip the seeds: new ones first, each part in any order."""
+        seeds = sorted(found)
+        self.context.rng.shuffle(seeds)
+        seeds.sort(key=tried.__contains__)
+        own_id = self.settings.daemon.id
+        peers = [
+            f'{seed.ip}:{seed.peers_port}'
+            for seed in seeds
+            if seed.daemon_id != own_id
+        ]
+        self.post.publish(SeedsLearned(tuple(peers)))
+
+    async def write(
+        self,
+        key: str,
+        revision: int,
+        seeds: tuple[Seed, ...],
+    ) -> None:
+        """Write a list unless another daemon was faster.
+
+        The loser of a race does nothing: the list that won is as good, and
+        the next look comes anyway.
+        """
+        self.writes += 1
+        put = StorePut(key, encode(seeds))
+        await self.ask_store(StoreCommit(((key, revision),), (put,)))
+
+    async def ask_store(
+        self,
+        question: StoreGet | StoreCommit,
+    ) -> Result[Any, StoreFailure]:
+        """Ask the store task; a store that is missing counts as down."""
+        try:
+            return await self.post.ask(question)
+        except (NoHandlerError, TimeoutError) as error:
+            detail = f'{type(error).__name__}: {error}'
+            return Result.from_failure(StoreFailure(True, detail))
+
+
+def has_strangers(
+    found: AbstractSet[Seed],
+    tried: AbstractSet[Seed],
+    own: Member,
+) -> bool:
+    """Tell whether there are seeds of other daemons that were not tried."""
+    return any(seed.daemon_id != own.daemon_id for seed in found - tried)
+
+
+def read_seeds(entry: StoreEntry) -> tuple[Seed, ...]:
+    """Decode a seed list; a malformed one counts as empty."""
+    try:
+        return SEED_LISTS.decode(entry.content)
+    except DecodeError as error:
+        log_event('seeds:malformed', key=entry.key, detail=str(error))
+        return ()
+
+
+@HANDLERS.on(MembersChanged)
+def update_members(task: SeedsTask, message: MembersChanged) -> None:
+    """Take over the known members."""
+    task.members_by_id = message.members_by_id
+
+
+@HANDLERS.on(DescribeTask)
+def describe(task: SeedsTask, _message: DescribeTask) -> dict[str, Any]:
+    """Describe the use of the platform for the daemon's status."""
+    return {'seeds': {'reads': task.reads, 'writes': task.writes}}
+
+
+@PLUGINS.register('seeds')
+def create_seeds(context: Context) -> SeedsTask:
+    """Create the seeds task."""
+    return SeedsTask(context)
--- a/bergamotshunt/tests/fleet.py
+++ b/bergamotshunt/tests/fleet.py
@@ -60,6 +60,8 @@
         self.now_ms = 0.0
         self.loss = loss
         self.delay_ms = 20.0
+        # Name of the daemon in the settings of all others, or empty.
+        self.known_peer = 'd0'
         self.nodes: list[Node] = []
         self.cut: set[frozenset[Endpoint]] = set()
         self.events: list[tuple[float, int, Endpoint, Endpoint, bytes]] = []
@@ -67,11 +69,15 @@
         self.ports = count(1000)
 
     def add(
-        self, name: str, known: Node | None = None, process_id: int = 0
+        self,
+        name: str,
+        known: Node | None = None,
+        process_id: int = 0,
+        port: int = 0,
     ) -> Node:
         node = Node(
             name,
-            next(self.ports),
+            port or next(self.ports),
             process_id or 1_000_000 + int(self.now_ms),
             self.rng,
             self.now_ms,
@@ -100,7 +106,9 @@
         }
 
     def sync(self, node: Node, peer: Node) -> bool:
-        if peer.paused or not self.reachable(node.endpoint, peer.endpoint):
+        if peer is node or peer.paused:
+            return False
+        if not self.reachable(node.endpoint, peer.endpoint):
             return False
         bucket = 0
         while bucket < BUCKETS:
@@ -163,10 +171,21 @@
             if not node.paused:
                 self.send(node, node.swim.tick(self.now_ms))
                 if self.rng.random() < TICK_MS / SYNC_MS:
-                    for name in node.swim.composer.order.sample(
-                        1, node.swim.composer.is_peer
-                    ):
-                        self.sync_with(node, name)
+                    self.sync_as_task_does(node)
+
+    def sync_as_task_does(self, node: Node) -> None:
+        """Sync with a live member, and with a known peer that is not."""
+        composer = node.swim.composer
+        for name in composer.order.sample(1, composer.is_peer):
+            self.sync_with(node, name)
+        live = {
+            (member.ip, member.gossip_port)
+            for member in node.members.table.by_id.values()
+            if is_live(member)
+        }
+        for peer in self.nodes:
+            if peer.name == self.known_peer and peer.endpoint not in live:
+                self.sync(node, peer)
 
     def run(self, duration_ms: float) -> None:
         end_ms = self.now_ms + duration_ms
--- a/bergamotshunt/tests/test_membership.py
+++ b/bergamotshunt/tests/test_membership.py
@@ -88,7 +88,13 @@
         self.fleet.kill(old)
         peers = [node for node in self.fleet.nodes if not node.paused]
         process_id = 1_000_000 + int(self.fleet.now_ms) + clock_ms
-        self.fleet.add(old.name, peers[0] if peers else None, process_id)
+        known = peers[0] if peers else None
+        self.fleet.add(old.name, known, process_id, old.endpoint[1])
+        self.incarnations = {
+            key: held
+            for key, held in self.incarnations.items()
+            if key[0] != old.endpoint[1]
+        }
 
     @rule(number=integers(0, FLEET_SIZE - 1))
     def drain(self, number: int) -> None:
@@ -115,12 +121,6 @@
         fleet.delay_ms = 20
         for node in fleet.nodes:
             resume(fleet, node)
-        islands = [node for node in fleet.nodes if len(known_by(node)) == 1]
-        for node in islands:
-            # Its known peers were all paused when it started; the gossip
-            # task goes on trying them.
-            fleet.sync(node, fleet.nodes[0])
-            fleet.sync(node, fleet.nodes[-1])
         fleet.run_until_agreed(600_000)
         for node in fleet.nodes:
             assert node.members.replaced_by is None
@@ -144,7 +144,7 @@
 
 TestFleet = FleetMachine.TestCase
 TestFleet.settings = settings(
-    max_examples=25, stateful_step_count=12, derandomize=True, deadline=None
+    max_examples=120, stateful_step_count=15, derandomize=True, deadline=None
 )
 
 
@@ -187,9 +187,10 @@
     old = fleet.nodes[2]
     fleet.kill(old)
     restarted = fleet.add('d2', fleet.nodes[0], process_id=5)
-    fleet.run_until_agreed(30_000)
     assert restarted.members.replaced_by is None
     assert restarted.members.own.incarnation > old.members.own.incarnation
+    fleet.run_until_agreed(30_000)
+    assert restarted.members.replaced_by is None
 
 
 def test_woken_process_learns_that_it_was_replaced() -> None:
@@ -266,6 +267,7 @@
 def test_healed_cut_merges() -> None:
     """Guards against sides that hold each other for dead for good."""
     fleet = Fleet(6)
+    fleet.known_peer = ''
     fleet.fill(10)
     fleet.run(5000)
     fleet.separate({'d0', 'd1', 'd2', 'd3'})
--- /dev/null
+++ b/bergamotshunt/tests/test_seeds.py
@@ -0,0 +1,250 @@
+"""Seed lists: joining through the platform, and the calls that it costs."""
+
+import asyncio
+from random import Random
+
+from msgspec.json import decode, encode
+from returns.result import Failure, Result, Success
+
+from bergamotshunt.decisions.seeding import (
+    KEEPERS_PER_ZONE,
+    MOST_SEEDS,
+    Seed,
+    SeedTimes,
+    is_keeper,
+    revise,
+)
+from bergamotshunt.kernel import Context, Envelope, Mailbox, Post
+from bergamotshunt.members import Member, MemberStatus
+from bergamotshunt.messages import (
+    MembersChanged,
+    SeedsLearned,
+    StoreCommit,
+    StoreEntry,
+    StoreFailure,
+    StoreGet,
+)
+from bergamotshunt.plugins.seeds import SeedsTask
+from bergamotshunt.settings import DaemonSettings, Settings
+
+ZONES = ('zone-1', 'zone-2', 'zone-3')
+# The times of the product, 20 times shorter.
+TIMES = SeedTimes(0.2, 1, 0.1, 1.5, 15)
+
+
+def member(number: int, **fields: object) -> Member:
+    zone = ZONES[number % len(ZONES)]
+    record = Member(f'd{number}', 1, '10.0.0.1', number + 1, 1, 'r', zone, 's')
+    return record._replace(**fields)  # type: ignore[arg-type]
+
+
+class PlatformFake:
+    """Seed lists with compare-and-swap; counts calls and may be down."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, StoreEntry] = {}
+        self.is_down = False
+        self.delay_s = 0.0
+        self.reads = 0
+        self.writes = 0
+        self.awaited_reads = 0
+        self.was_read = asyncio.Event()
+
+    async def answer(self, envelope: Envelope) -> None:
+        await asyncio.sleep(self.delay_s)
+        assert envelope.reply is not None
+        if not envelope.reply.done():
+            envelope.reply.set_result(self.reply(envelope.message))
+
+    def reply(self, message: StoreGet | StoreCommit) -> Result:
+        if isinstance(message, StoreGet):
+            self.reads += 1
+            if self.reads >= self.awaited_reads:
+                self.was_read.set()
+        else:
+            self.writes += 1
+        if self.is_down:
+            return Failure(StoreFailure(False, 'down'))
+        if isinstance(message, StoreGet):
+            return Success(tuple(self.entries.values()))
+        ((key, revision),) = message.expected
+        held = self.entries.get(key)
+        if (held.mod_revision if held else 0) != revision:
+            return Success(False)
+        (put,) = message.puts
+        self.entries[key] = StoreEntry(key, put.content, revision + 1)
+        return Success(True)
+
+    def seeds(self) -> list[Seed]:
+        return [
+            seed
+            for entry in self.entries.values()
+            for seed in decode(entry.content, type=tuple[Seed, ...])
+        ]
+
+
+class HostFake:
+    """A seeds task, with a stand-in for the gossip task beside it."""
+
+    def __init__(self, number: int, platform: PlatformFake) -> None:
+        self.own = member(number)
+        self.platform = platform
+        settings = Settings(
+            daemon=DaemonSettings(
+                id=self.own.daemon_id,
+                availability_zone=self.own.availability_zone,
+            )
+        )
+        context = Context(settings, Post(), Random(number), 1)
+        self.seeds = SeedsTask(context)
+        self.seeds.times = TIMES
+        self.mailbox: Mailbox = asyncio.Queue()
+        for kind in (StoreGet, StoreCommit, SeedsLearned):
+            context.post.subscribe(kind, self.mailbox)
+
+    async def start(self, fleet: 'FleetFake') -> None:
+        self.fleet = fleet
+        self.tell({self.own.daemon_id: self.own})
+        self.seeds.spawn(self.seeds.run())
+        self.seeds.spawn(self.serve())
+        await self.seeds.start()
+
+    async def serve(self) -> None:
+        while True:
+            envelope = await self.mailbox.get()
+            if isinstance(envelope.message, SeedsLearned):
+                self.fleet.join(self, envelope.message.peers)
+            else:
+                self.seeds.spawn(self.platform.answer(envelope))
+
+    def tell(self, members_by_id: dict[str, Member]) -> None:
+        self.seeds.context.post.publish(MembersChanged(members_by_id))
+
+
+class FleetFake:
+    """Hosts that join through peers at once; all know who has joined."""
+
+    def __init__(self, size: int, platform: PlatformFake) -> None:
+        self.hosts = [HostFake(number, platform) for number in range(size)]
+        self.islands = {
+            host.own.daemon_id: {host.own.daemon_id} for host in self.hosts
+        }
+        self.joined = asyncio.Event()
+
+    def join(self, host: HostFake, peers: tuple[str, ...]) -> None:
+        by_peer = {
+            f'{other.own.ip}:{other.own.peers_port}': other
+            for other in self.hosts
+        }
+        found = [by_peer[peer] for peer in peers if peer in by_peer][:3]
+        for other in found:
+            mine = self.islands[host.own.daemon_id]
+            theirs = self.islands[other.own.daemon_id]
+            if mine is theirs:
+                continue
+            mine |= theirs
+            for name in theirs:
+                self.islands[name] = mine
+        mine = self.islands[host.own.daemon_id]
+        if found:
+            members = {
+                one.own.daemon_id: one.own
+                for one in self.hosts
+                if one.own.daemon_id in mine
+            }
+            for one in self.hosts:
+                if one.own.daemon_id in mine:
+                    one.tell(members)
+        if all(len(island) > 1 for island in self.islands.values()):
+            self.joined.set()
+
+    async def start(self) -> None:
+        for host in self.hosts:
+            await host.start(self)
+
+    async def close(self) -> None:
+        for host in self.hosts:
+            await host.seeds.close()
+
+
+def test_two_daemons_look_after_a_zone() -> None:
+    """Guards against calls to the platform that grow with the fleet."""
+    for size in (1, 2, 50, 514):
+        ids = [f'd{number}' for number in range(size)]
+        keepers = [name for name in ids if is_keeper(name, ids, 'zone-1')]
+        assert len(keepers) == min(size, KEEPERS_PER_ZONE)
+
+
+def test_list_loses_what_is_gone_and_keeps_what_is_unknown() -> None:
+    """Guards against dead seeds, and against cutting off an unmet part."""
+    members = {
+        f'd{number}': member(number, availability_zone='zone-1')
+        for number in range(12)
+    }
+    members['d1'] = members['d1']._replace(status=MemberStatus.DEAD)
+    unmet = Seed('x', '10.0.0.9', 9)
+    held = (
+        Seed('d1', '10.0.0.1', 2),
+        Seed('d2', '10.0.0.1', 3),
+        unmet,
+    )
+    seeds = revise(held, members, members['d0'], tried=())
+    assert len(seeds) == MOST_SEEDS
+    assert unmet in seeds
+    assert held[1] in seeds
+    assert held[0] not in seeds
+    assert set(revise(seeds, members, members['d0'], ())) == set(seeds)
+    assert unmet not in revise(held, members, members['d0'], {unmet})
+
+
+def run_start(platform: PlatformFake, size: int, down_first: bool) -> None:
+    async def scenario() -> None:
+        fleet = FleetFake(size, platform)
+        platform.is_down = down_first
+        platform.awaited_reads = size
+        await fleet.start()
+        if down_first:
+            async with asyncio.timeout(20):
+                await platform.was_read.wait()
+            platform.is_down = False
+        async with asyncio.timeout(20):
+            await fleet.joined.wait()
+        await fleet.close()
+
+    asyncio.run(scenario())
+
+
+def test_all_hosts_start_at_once() -> None:
+    """Guards against a storm of writes when a whole fleet starts."""
+    platform = PlatformFake()
+    platform.delay_s = 0.002
+    run_start(platform, 90, down_first=False)
+    print(f'reads {platform.reads}, writes {platform.writes}')
+    assert platform.reads <= 2 * 90
+    assert platform.writes <= 20
+
+
+def test_all_hosts_start_while_the_platform_is_down() -> None:
+    """Guards against hosts that give up or hurry during an outage."""
+    platform = PlatformFake()
+    platform.delay_s = 0.002
+    run_start(platform, 60, down_first=True)
+    print(f'reads {platform.reads}, writes {platform.writes}')
+    assert platform.reads <= 5 * 60
+    assert platform.writes <= 20
+
+
+def test_stale_list_of_an_earlier_fleet_is_replaced() -> None:
+    """Guards against a list full of dead seeds that stops every join."""
+    platform = PlatformFake()
+    for zone in ZONES:
+        key = f'seeds/{zone}'
+        stale = [
+            Seed(f'{zone}-{number}', '10.0.0.7', number)
+            for number in range(MOST_SEEDS)
+        ]
+        platform.entries[key] = StoreEntry(key, encode(stale), 5)
+    platform.entries['seeds/zone-9'] = StoreEntry('seeds/zone-9', b'{', 3)
+    run_start(platform, 30, down_first=False)
+    print(f'reads {platform.reads}, writes {platform.writes}')
+    assert platform.writes <= 20
