Add pure decisions on choice, ejection, retries, hedging and budgets

Cause: the first path chose a server by own requests in flight only and knew neither retries nor ejection. Change: decisions/budgets, deadlines, retries, hedging, ejection, scoring and more choosers as pure functions; views.py, ejected.py and extra_load.py hold the state that they work on. The default of max_ejected_share becomes 1/3 in ViewRules, because int(3 * 0.33) is 0 and a service of three servers could never eject one. transport.py keeps repeated headers, bounds the time of a connection, can stream, and no longer rounds timeouts above 5 s to whole seconds. Ruled out: excluding a server that sends Retry-After for all calls; this moves its whole load to its peers at once.

--- a/bergamotshunt/decisions/choosing.py
+++ b/bergamotshunt/decisions/choosing.py
@@ -2,50 +2,27 @@
 
 from collections.abc import Callable, Sequence
 from random import Random
-from typing import Final, NamedTuple
-
-from bergamotshunt.calls import LoadReport
-from bergamotshunt.members import Member
+from typing import Final
+
+from bergamotshunt.decisions.scoring import (
+    Candidate,
+    ChoiceInput,
+    base_latency_ms,
+    expected_ms,
+    occupancy,
+    ramp_share,
+)
 from bergamotshunt.registries import Registry
 
-
-class Candidate(NamedTuple):
-    """A backend server as one chooser sees it.
-
-    Attributes:
-        member: The daemon beside it.
-        own_in_flight: Requests that this chooser sent and that still run.
-        report: Last load report, or None.
-        reported_at_ms: Monotonic time of that report.
-        latency_ms: Latency that this chooser saw, smoothed.
-        near: Whether it is in the chooser's availability zone.
-    """
-
-    member: Member
-    own_in_flight: int = 0
-    report: LoadReport | None = None
-    reported_at_ms: float = 0
-    latency_ms: float = 0
-    near: bool = True
-
-
-class ChoiceInput(NamedTuple):
-    """What a choice depends on, besides the candidates.
-
-    Attributes:
-        now_ms: Monotonic time.
-        rng: Random source.
-        sequence: Number of the choice, for choosers that take turns.
-    """
-
-    now_ms: float
-    rng: Random
-    sequence: int = 0
-
-
 Chooser = Callable[[Sequence[Candidate], ChoiceInput], Candidate]
 CHOOSERS: Final[Registry[Chooser]] = Registry('chooser')
 
+# Servers of other zones are considered from this occupancy on, before the
+# limit is reached and requests queue.
+SPILL_OCCUPANCY: Final = 0.7
+HOT_OCCUPANCY: Final = 0.8
+SAMPLE_SIZE: Final = 3
+
 
 @CHOOSERS.register('random')
 def choose_random(
@@ -82,8 +59,122 @@
     candidates: Sequence[Candidate],
     choice: ChoiceInput,
 ) -> Candidate:
-    """Choose the less loaded of two random candidates."""
-    if len(candidates) == 1:
-        return candidates[0]
-    pair = choice.rng.sample(candidates, 2)
-    return choose_least_in_flight(pair, choice)
+    """Choose the less occupied of two random candidates."""
+    return min(
+        draw_some(candidates, 2, choice),
+        key=lambda candidate: occupancy(candidate, choice),
+    )
+
+
+@CHOOSERS.register('latency-weighted')
+def choose_by_latency(
+    candidates: Sequence[Candidate],
+    choice: ChoiceInput,
+) -> Candidate:
+    """Choose of two by peak latency times own requests in flight."""
+    return min(
+        draw_some(candidates, 2, choice),
+        key=lambda candidate: (
+            base_latency_ms(candidate, choice) * (candidate.own_in_flight + 1)
+        ),
+    )
+
+
+@CHOOSERS.register('hot-cold')
+def choose_cold(
+    candidates: Sequence[Candidate],
+    choice: ChoiceInput,
+) -> Candidate:
+    """Choose the fastest cold server, or the least occupied hot one."""
+    drawn = draw_some(candidates, SAMPLE_SIZE, choice)
+    cold = [
+        candidate
+        for candidate in drawn
+        if occupancy(candidate, choice) < HOT_OCCUPANCY
+    ]
+    if cold:
+        return min(
+            cold,
+            key=lambda candidate: base_latency_ms(candidate, choice),
+        )
+    return min(drawn, key=lambda candidate: occupancy(candidate, choice))
+
+
+@CHOOSERS.register('expected-wait')
+def choose_shortest_wait(
+    candidates: Sequence[Candidate],
+    choice: ChoiceInput,
+) -> Candidate:
+    """Choose the shortest expected time to the answer of a few."""
+    return min(
+        draw_some(candidates, SAMPLE_SIZE, choice),
+        key=lambda candidate: expected_ms(candidate, choice),
+    )
+
+
+def draw_some(
+    candidates: Sequence[Candidate],
+    size: int,
+    choice: ChoiceInput,
+) -> Sequence[Candidate]:
+    """Draw different candidates; cold servers less often than others.
+
+    Looking at a few random servers instead of all keeps independent
+    choosers from sending to the same server at the same time.
+    """
+    drawn = draw_distinct(candidates, size, choice.rng)
+    warm = [
+        candidate
+        for candidate in drawn
+        if choice.rng.random() < ramp_share(candidate, choice.now_ms)
+    ]
+    return warm or drawn
+
+
+def draw_distinct(
+    candidates: Sequence[Candidate],
+    size: int,
+    rng: Random,
+) -> Sequence[Candidate]:
+    """Draw without replacement; faster than ``Random.sample`` for 2 or 3."""
+    count = len(candidates)
+    if count <= size:
+        return candidates
+    positions = {int(rng.random() * count) for _ in range(size)}
+    while len(positions) < size:
+        positions.add(int(rng.random() * count))
+    return [candidates[position] for position in positions]
+
+
+def choose_with_spill(
+    chooser: Chooser,
+    near: Sequence[Candidate],
+    far: Sequence[Candidate],
+    choice: ChoiceInput,
+) -> Candidate:
+    """Choose in the own availability zone unless it is busy or slow.
+
+    Args:
+        chooser: Entry of ``CHOOSERS``.
+        near: Candidates in the own zone.
+        far: Candidates in other zones; one of both is not empty.
+        choice: What else the choice depends on.
+    """
+    if not near:
+        return chooser(far, choice)
+    best = chooser(near, choice)
+    if not far:
+        return best
+    if occupancy(best, choice) < SPILL_OCCUPANCY and is_usual(best, choice):
+        return best
+    return min(
+        (best, chooser(far, choice)),
+        key=lambda candidate: expected_ms(candidate, choice),
+    )
+
+
+def is_usual(candidate: Candidate, choice: ChoiceInput) -> bool:
+    """Tell whether a server is not much slower than what is usual."""
+    return (
+        base_latency_ms(candidate, choice) < 2 * choice.typical.latency_ms + 2
+    )
--- /dev/null
+++ b/bergamotshunt/decisions/ejection.py
@@ -0,0 +1,163 @@
+"""Ejection of servers that fail or straggle compared with their peers."""
+
+from collections.abc import Iterable, Mapping
+from math import exp
+from statistics import median
+from typing import Final, NamedTuple
+
+# Outcomes lose weight with this time constant, so that a record tells
+# about the last seconds.
+MEMORY_MS: Final = 10_000.0
+MIN_OUTCOMES: Final = 10.0
+MIN_PEERS: Final = 2
+FAILED_SHARE: Final = 0.5
+FAILED_SHARE_ABOVE_PEERS: Final = 0.3
+SLOW_FACTOR: Final = 4.0
+# Differences of a few ms are noise on hosts with neighbours.
+SLOW_MARGIN_MS: Final = 20.0
+FIRST_EJECTION_MS: Final = 2000.0
+MAX_EJECTION_MS: Final = 60_000.0
+TRIALS_NEEDED: Final = 3
+ROUNDING: Final = 1e-9
+
+
+class Record(NamedTuple):
+    """Recent outcomes of one server, each with a weight that decays.
+
+    Attributes:
+        outcomes: Weight of all outcomes.
+        failures: Weight of the failed ones.
+        latency_ms: Weighted mean latency of the others.
+        at_ms: Time of the last outcome.
+    """
+
+    outcomes: float = 0
+    failures: float = 0
+    latency_ms: float = 0
+    at_ms: float = 0
+
+
+class Ejection(NamedTuple):
+    """An ejected server.
+
+    Attributes:
+        until_ms: Time from which trial requests are sent.
+        times: Number of ejections in a row.
+        trials_passed: Successful trial requests in a row.
+        trial_running: Whether a trial request is in flight.
+    """
+
+    until_ms: float
+    times: int = 1
+    trials_passed: int = 0
+    trial_running: bool = False
+
+
+def note_outcome(
+    record: Record,
+    latency_ms: float,
+    failed: bool,
+    now_ms: float,
+) -> Record:
+    """Add one outcome to a record."""
+    kept = exp(min(record.at_ms - now_ms, 0) / MEMORY_MS)
+    outcomes = record.outcomes * kept + 1
+    failures = record.failures * kept + failed
+    mean_ms = record.latency_ms
+    if not failed:
+        mean_ms += (latency_ms - mean_ms) / (outcomes - failures)
+    return Record(outcomes, failures, mean_ms, now_ms)
+
+
+def most_ejected(servers: int, share: float) -> int:
+    """Return how many of the servers may be ejected at the same time."""
+    return int(servers * min(share, 0.5) + ROUNDING)
+
+
+def badness(record: Record, peers: Iterable[Record]) -> float:
+    """Compare a server with its peers.
+
+    Returns:
+        0 when it keeps up with its peers or too little is known;
+        otherwise larger for a worse server.
+    """
+    if record.outcomes < MIN_OUTCOMES:
+        return 0
+    known = [peer for peer in peers if peer.outcomes >= MIN_OUTCOMES]
+    if len(known) < MIN_PEERS:
+        return 0
+    failed = failed_share(record)
+    usual = median(failed_share(peer) for peer in known)
+    if failed >= FAILED_SHARE and failed >= usual + FAILED_SHARE_ABOVE_PEERS:
+        return 1 + failed
+    latency_ms = median(peer.latency_ms for peer in known)
+    bound_ms = max(latency_ms * SLOW_FACTOR, latency_ms + SLOW_MARGIN_MS)
+    if record.latency_ms > bound_ms:
+        return 1 - bound_ms / record.latency_ms
+    return 0
+
+
+def failed_share(record: Record) -> float:
+    """Return the share of failed outcomes, 0 to 1."""
+    return record.failures / record.outcomes if record.outcomes else 0
+
+
+def find_outliers(
+    record_by_id: Mapping[str, Record],
+    ejected: frozenset[str],
+    share: float,
+) -> tuple[str, ...]:
+    """Find the servers to eject now, the worst first.
+
+    Args:
+        record_by_id: Records of all servers of the service that are
+            alive, the ejected ones too.
+        ejected: Those of them that are ejected already.
+        share: Largest share of servers that may be ejected.
+    """
+    room = most_ejected(len(record_by_id), share) - len(ejected)
+    if room <= 0:
+        return ()
+    record_by_eligible = {
+        server: record
+        for server, record in record_by_id.items()
+        if server not in ejected
+    }
+    found = []
+    for server, record in record_by_eligible.items():
+        peers = [
+            peer_record
+            for peer, peer_record in record_by_eligible.items()
+            if peer != server
+        ]
+        worse = badness(record, peers)
+        if worse > 0:
+            found.append((worse, server))
+    worst_first = sorted(found, reverse=True)
+    return tuple(outlier for _, outlier in worst_first[:room])
+
+
+def eject(before: Ejection | None, now_ms: float) -> Ejection:
+    """Eject a server, for longer each time in a row."""
+    times = before.times + 1 if before else 1
+    pause_ms = min(FIRST_EJECTION_MS * 2.0 ** (times - 1), MAX_EJECTION_MS)
+    return Ejection(now_ms + pause_ms, times)
+
+
+def is_trial_due(ejection: Ejection, now_ms: float) -> bool:
+    """Tell whether one request may be sent to an ejected server."""
+    return now_ms >= ejection.until_ms and not ejection.trial_running
+
+
+def note_trial(
+    ejection: Ejection,
+    passed: bool,
+    now_ms: float,
+) -> Ejection | None:
+    """Judge a trial request; None means that the server returns."""
+    if not passed:
+        return eject(ejection, now_ms)
+    trials_passed = ejection.trials_passed + 1
+    if trials_passed >= TRIALS_NEEDED:
+        return None
+    return ejection._replace(trials_passed=trials_passed, trial_running=False)
--- /dev/null
+++ b/bergamotshunt/decisions/hedging.py
@@ -0,0 +1,35 @@
+"""When a second request is sent for a call that is slow."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from bergamotshunt.calls import CallHead
+
+# With fewer latencies the quantile is one of the largest values seen.
+MIN_LATENCIES: Final = 32
+# One call in 20 is slower; the budget admits the hedge_share of them. A
+# higher quantile follows a straggler that gets 5% of the calls.
+HEDGE_QUANTILE: Final = 0.95
+# Below this the timer and the second request cost more than they save.
+MIN_DELAY_MS: Final = 2.0
+
+
+def is_hedging_permitted(head: CallHead) -> bool:
+    """Tell whether two requests may run for a call."""
+    return head.target.idempotent and head.depth == 0
+
+
+def hedge_delay_ms(latencies_ms: Sequence[float]) -> float | None:
+    """Return the time after which a call is hedged.
+
+    Args:
+        latencies_ms: Recent latencies of the target, in any order.
+
+    Returns:
+        The delay, or None while too little is known.
+    """
+    count = len(latencies_ms)
+    if count < MIN_LATENCIES:
+        return None
+    position = min(int(count * HEDGE_QUANTILE), count - 1)
+    return max(sorted(latencies_ms)[position], MIN_DELAY_MS)
--- /dev/null
+++ b/bergamotshunt/decisions/scoring.py
@@ -0,0 +1,129 @@
+"""Estimates of a server's load and latency from stale evidence."""
+
+from math import exp, inf
+from random import Random
+from typing import Final, NamedTuple
+
+from bergamotshunt.calls import LoadReport
+from bergamotshunt.members import Member
+
+# A report is worth less the older it is: load shifts within milliseconds.
+REPORT_MEMORY_MS: Final = 200.0
+# A slow or failed answer is forgotten with this time constant, so that the
+# server is tried again.
+LATENCY_MEMORY_MS: Final = 3000.0
+RAMP_MS: Final = 10_000.0
+FIRST_SHARE: Final = 0.1
+# Availability zones are about 1 ms apart, which costs a round trip.
+FAR_MS: Final = 2.0
+ASSUMED_LIMIT: Final = 10
+
+
+class Candidate(NamedTuple):
+    """A backend server as one chooser sees it.
+
+    Attributes:
+        member: The daemon beside it.
+        own_in_flight: Requests that this chooser sent and that still run.
+        report: Last load report, or None.
+        reported_at_ms: Monotonic time of that report.
+        own_at_report: Own requests in flight at that time.
+        latency_ms: Smoothed latency; a failure counts as a penalty.
+        latency_at_ms: Time of the last change of ``latency_ms``.
+        waiting_since_ms: Since when own requests wait without an answer.
+        serving_since_ms: Time at which the server was first seen serving.
+        near: Whether it is in the chooser's availability zone.
+    """
+
+    member: Member
+    own_in_flight: int = 0
+    report: LoadReport | None = None
+    reported_at_ms: float = 0
+    own_at_report: int = 0
+    latency_ms: float = 0
+    latency_at_ms: float = -inf
+    waiting_since_ms: float = 0
+    serving_since_ms: float = -inf
+    near: bool = True
+
+
+class Typical(NamedTuple):
+    """What is usual among the servers of a service.
+
+    Attributes:
+        latency_ms: Smoothed latency over all servers.
+        others: Requests of other choosers in flight on a server.
+    """
+
+    latency_ms: float = 1
+    others: float = 0
+
+
+class ChoiceInput(NamedTuple):
+    """What a choice depends on, besides the candidates.
+
+    Attributes:
+        now_ms: Monotonic time.
+        rng: Random source.
+        sequence: Number of the choice, for choosers that take turns.
+        typical: What is usual among the candidates.
+    """
+
+    now_ms: float
+    rng: Random
+    sequence: int = 0
+    typical: Typical = Typical()
+
+
+def count_others(candidate: Candidate, choice: ChoiceInput) -> float:
+    """Estimate the requests of other choosers on a server.
+
+    The estimate moves from the report to what is usual as the report
+    ages, so that neither an old idle report attracts every chooser nor
+    an old busy one keeps a server idle.
+    """
+    usual = choice.typical.others
+    report = candidate.report
+    if report is None:
+        return usual
+    reported = report.in_flight + report.queued - candidate.own_at_report
+    age_ms = max(choice.now_ms - candidate.reported_at_ms, 0)
+    trust = exp(-age_ms / REPORT_MEMORY_MS)
+    return usual + (max(reported, 0) - usual) * trust
+
+
+def occupancy(candidate: Candidate, choice: ChoiceInput) -> float:
+    """Estimate the occupied share of a server's limit; above 1 it queues."""
+    report = candidate.report
+    limit = report.limit if report and report.limit else ASSUMED_LIMIT
+    running = candidate.own_in_flight + count_others(candidate, choice)
+    return running / limit
+
+
+def base_latency_ms(candidate: Candidate, choice: ChoiceInput) -> float:
+    """Estimate the latency of a server, not counting its queue."""
+    usual_ms = choice.typical.latency_ms
+    age_ms = max(choice.now_ms - candidate.latency_at_ms, 0)
+    trust = exp(-age_ms / LATENCY_MEMORY_MS)
+    latency_ms = usual_ms + (candidate.latency_ms - usual_ms) * trust
+    if candidate.own_in_flight:
+        # A server that does not answer is at least as slow as the wait.
+        waited_ms = choice.now_ms - candidate.waiting_since_ms
+        return max(latency_ms, waited_ms)
+    return latency_ms
+
+
+def expected_ms(candidate: Candidate, choice: ChoiceInput) -> float:
+    """Estimate the time to the answer of one more request."""
+    busy = occupancy(candidate, choice)
+    # Neighbours on a host and a queue both cost before the limit is full.
+    latency_ms = base_latency_ms(candidate, choice) * (1 + busy * busy)
+    return latency_ms if candidate.near else latency_ms + FAR_MS
+
+
+def ramp_share(candidate: Candidate, now_ms: float) -> float:
+    """Return the share of its requests that a cold server may get."""
+    age_ms = now_ms - candidate.serving_since_ms
+    if age_ms >= RAMP_MS:
+        return 1
+    return max(age_ms / RAMP_MS, FIRST_SHARE)
--- /dev/null
+++ b/bergamotshunt/ejected.py
@@ -0,0 +1,124 @@
+"""Ejected servers of one service, with the records that decide on them."""
+
+from collections.abc import Collection, Iterable
+from math import inf
+from typing import Final
+
+from bergamotshunt.decisions.ejection import (
+    Ejection,
+    Record,
+    eject,
+    find_outliers,
+    is_trial_due,
+    most_ejected,
+    note_outcome,
+    note_trial,
+)
+
+# Comparing all servers costs time that grows with their number.
+CHECK_INTERVAL_MS: Final = 100.0
+
+
+class EjectedServers:
+    """Which servers of a service get no ordinary requests.
+
+    Args:
+        share: Largest share of the servers that may be ejected.
+    """
+
+    def __init__(self, share: float) -> None:
+        """Create the state without servers."""
+        self.share = share
+        self.record_by_id: dict[str, Record] = {}
+        self.ejection_by_id: dict[str, Ejection] = {}
+        self.next_trial_ms = inf
+        self.next_check_ms = -inf
+
+    def keep(self, server_ids: Iterable[str]) -> None:
+        """Forget all other servers and keep to the bound on ejection."""
+        self.record_by_id = {
+            server: self.record_by_id.get(server, Record())
+            for server in server_ids
+        }
+        latest_first = sorted(
+            (
+                (ejection.until_ms, server)
+                for server, ejection in self.ejection_by_id.items()
+                if server in self.record_by_id
+            ),
+            reverse=True,
+        )
+        room = most_ejected(len(self.record_by_id), self.share)
+        self.ejection_by_id = {
+            server: self.ejection_by_id[server]
+            for _, server in latest_first[:room]
+        }
+        self._plan_trial()
+
+    def note(
+        self,
+        server: str,
+        latency_ms: float,
+        failed: bool,
+        now_ms: float,
+    ) -> bool:
+        """Record an outcome; tell whether a server was ejected."""
+        record = self.record_by_id.get(server)
+        if record is None:
+            return False
+        self.record_by_id[server] = note_outcome(
+            record, latency_ms, failed, now_ms
+        )
+        if now_ms < self.next_check_ms:
+            return False
+        self.next_check_ms = now_ms + CHECK_INTERVAL_MS
+        outliers = find_outliers(
+            self.record_by_id, frozenset(self.ejection_by_id), self.share
+        )
+        for outlier in outliers:
+            self.ejection_by_id[outlier] = eject(None, now_ms)
+        self._plan_trial()
+        return bool(outliers)
+
+    def take_trial(self, now_ms: float, tried: Collection[str]) -> str:
+        """Return a server for a trial request, or an empty text."""
+        for server, ejection in self.ejection_by_id.items():
+            if server not in tried and is_trial_due(ejection, now_ms):
+                self.ejection_by_id[server] = ejection._replace(
+                    trial_running=True
+                )
+                self._plan_trial()
+                return server
+        return ''
+
+    def judge_trial(self, server: str, passed: bool, now_ms: float) -> bool:
+        """Note the end of a trial request; tell whether it restores."""
+        ejection = self.ejection_by_id.get(server)
+        if ejection is None:
+            return False
+        judged = note_trial(ejection, passed, now_ms)
+        if judged is None:
+            # The outcomes from before the ejection would eject it again.
+            self.ejection_by_id.pop(server)
+            self.record_by_id[server] = Record()
+        else:
+            self.ejection_by_id[server] = judged
+        self._plan_trial()
+        return judged is None
+
+    def drop_trial(self, server: str) -> None:
+        """Note that a trial request was cancelled and tells nothing."""
+        ejection = self.ejection_by_id.get(server)
+        if ejection is not None:
+            self.ejection_by_id[server] = ejection._replace(trial_running=False)
+            self._plan_trial()
+
+    def _plan_trial(self) -> None:
+        self.next_trial_ms = min(
+            (
+                ejection.until_ms
+                for ejection in self.ejection_by_id.values()
+                if not ejection.trial_running
+            ),
+            default=inf,
+        )
--- a/bergamotshunt/plugins/entry.py
+++ b/bergamotshunt/plugins/entry.py
@@ -9,7 +9,8 @@
 from returns.result import Failure, Result, Success
 
 from bergamotshunt.calls import CallHead
-from bergamotshunt.decisions.choosing import CHOOSERS, Candidate, ChoiceInput
+from bergamotshunt.decisions.choosing import CHOOSERS
+from bergamotshunt.decisions.scoring import Candidate, ChoiceInput
 from bergamotshunt.decisions.matching import match_target
 from bergamotshunt.headers import DEADLINE_MS, INCARNATION, REQUEST_ID, TARGET
 from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
--- /dev/null
+++ b/bergamotshunt/tests/test_call_decisions.py
@@ -0,0 +1,303 @@
+"""Properties of the decisions about choice, ejection, retries and budgets."""
+
+from collections import Counter
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bergamotshunt.calls import CallHead, LoadReport
+from bergamotshunt.decisions.budgets import (
+    Budget,
+    BudgetRule,
+    can_spend,
+    earn,
+    spend,
+)
+from bergamotshunt.decisions.choosing import CHOOSERS, choose_with_spill
+from bergamotshunt.decisions.deadlines import parse_deadline_ms
+from bergamotshunt.decisions.ejection import (
+    Ejection,
+    Record,
+    eject,
+    find_outliers,
+    most_ejected,
+    note_outcome,
+    note_trial,
+)
+from bergamotshunt.decisions.hedging import hedge_delay_ms
+from bergamotshunt.decisions.retries import (
+    combine_failures,
+    combine_verdicts,
+    is_retry_permitted,
+)
+from bergamotshunt.decisions.scoring import Candidate, ChoiceInput, Typical
+from bergamotshunt.members import Member, ServerState
+from bergamotshunt.targets import Target
+from bergamotshunt.verdicts import (
+    Verdict,
+    create_refusal,
+    create_unknown_outcome,
+)
+
+DETERMINISTIC = settings(derandomize=True, max_examples=200, deadline=None)
+FAILURES = {
+    Verdict.NOT_RUN: create_refusal('shed', 'full'),
+    Verdict.MAY_HAVE_RUN: create_unknown_outcome('timeout', 'no answer'),
+}
+
+
+def member_of(name: str, zone: str = 'zone-1') -> Member:
+    return Member(
+        name,
+        1,
+        '127.0.0.1',
+        1,
+        1,
+        'r',
+        zone,
+        'jar-ledger',
+        ServerState.SERVING,
+        process_id=1,
+    )
+
+
+def head_of(idempotent: bool, depth: int = 0) -> CallHead:
+    target = Target('t', idempotent=idempotent)
+    return CallHead('jar-ledger', 'GET', '/', (), 'r1', 1000, target, depth)
+
+
+@DETERMINISTIC
+@given(
+    st.lists(st.floats(0, 5000), min_size=1, max_size=200),
+    st.floats(0, 1),
+    st.floats(0, 1),
+)
+def test_budget_never_pays_for_more_than_its_share(
+    gaps_ms: list[float], share: float, floor_per_s: float
+) -> None:
+    """Guards against retries that multiply the load during a surge."""
+    rule = BudgetRule(share, floor_per_s, capacity=10)
+    budget = Budget(2, 0)
+    spent, now_ms = 0, 0.0
+    for gap_ms in gaps_ms:
+        now_ms += gap_ms
+        budget = earn(budget, rule, now_ms)
+        assert budget.tokens <= rule.capacity
+        while can_spend(budget):
+            budget = spend(budget)
+            spent += 1
+    granted = 2 + share * len(gaps_ms) + floor_per_s * now_ms / 1000
+    assert spent <= granted + 1e-6
+
+
+RECORDS = st.dictionaries(
+    st.sampled_from([f's{number}' for number in range(12)]),
+    st.builds(Record, st.floats(0, 100), st.floats(0, 100), st.floats(0, 1000)),
+    min_size=1,
+)
+
+
+@DETERMINISTIC
+@given(RECORDS, st.floats(0, 0.5), st.sets(st.integers(0, 11)))
+def test_ejection_never_passes_its_bound(
+    record_by_id: dict[str, Record], share: float, before: set[int]
+) -> None:
+    """Guards against ejecting a whole service that fails everywhere."""
+    bound = most_ejected(len(record_by_id), share)
+    ejected = frozenset(
+        sorted(f's{n}' for n in before if f's{n}' in record_by_id)[:bound]
+    )
+    found = find_outliers(record_by_id, ejected, share)
+    assert len(found) + len(ejected) <= share * len(record_by_id) + 1e-6
+    assert not ejected.intersection(found)
+    for server in found:
+        assert record_by_id[server].outcomes >= 10
+
+
+def test_third_of_three_servers_is_one() -> None:
+    """Guards against a rounding that never ejects in small services."""
+    assert [most_ejected(n, 1 / 3) for n in range(1, 10)] == [
+        0,
+        0,
+        1,
+        1,
+        1,
+        2,
+        2,
+        2,
+        3,
+    ]
+
+
+def test_failing_server_is_ejected_and_returns_on_evidence() -> None:
+    """Guards against a server that fails fast and keeps its traffic."""
+    records = {f's{number}': Record() for number in range(4)}
+    for step in range(40):
+        for server in records:
+            records[server] = note_outcome(
+                records[server], 1, server == 's2', step * 10.0
+            )
+    assert find_outliers(records, frozenset(), 1 / 3) == ('s2',)
+    ejection = eject(None, 1000)
+    failed = note_trial(ejection, False, 3000)
+    assert failed and failed.until_ms - 3000 > ejection.until_ms - 1000
+    state: Ejection | None = failed
+    for _ in range(3):
+        assert state is not None
+        state = note_trial(state, True, 9000)
+    assert state is None
+
+
+def test_service_that_fails_everywhere_is_not_ejected() -> None:
+    """Guards against blaming one server for a fault that all share."""
+    record = Record(50, 45, 2)
+    records = {f's{number}': record for number in range(6)}
+    assert find_outliers(records, frozenset(), 1 / 3) == ()
+
+
+@DETERMINISTIC
+@given(st.lists(st.sampled_from(list(FAILURES)), min_size=1))
+def test_one_attempt_that_may_have_run_decides(
+    verdicts: list[Verdict],
+) -> None:
+    """Guards against "not run" for a call that may have run."""
+    told = combine_failures([FAILURES[verdict] for verdict in verdicts])
+    assert told.verdict is combine_verdicts(verdicts)
+    may_have_run = Verdict.MAY_HAVE_RUN in verdicts
+    assert (told.verdict is Verdict.NOT_RUN) is not may_have_run
+
+
+@DETERMINISTIC
+@given(st.booleans(), st.integers(0, 7), st.sampled_from(list(FAILURES)))
+def test_retries_follow_the_verdict(
+    idempotent: bool, depth: int, verdict: Verdict
+) -> None:
+    """Guards against repeating work that may have run."""
+    permitted = is_retry_permitted(
+        head_of(idempotent, depth), FAILURES[verdict]
+    )
+    safe = verdict is Verdict.NOT_RUN
+    assert permitted is (safe or (idempotent and depth == 0))
+
+
+@DETERMINISTIC
+@given(
+    st.sampled_from(CHOOSERS.names()),
+    st.integers(0, 1000),
+    st.lists(
+        st.builds(
+            Candidate,
+            st.sampled_from([member_of('a'), member_of('b', 'zone-2')]),
+            st.integers(0, 50),
+            st.none()
+            | st.builds(
+                LoadReport,
+                st.integers(0, 50),
+                st.integers(0, 50),
+                st.integers(0, 50),
+                st.integers(0, 10**7),
+            ),
+            st.floats(0, 1e6),
+            st.integers(0, 50),
+            st.floats(0, 1e5),
+            st.floats(0, 1e6),
+            st.floats(0, 1e6),
+            st.floats(0, 1e6),
+            st.booleans(),
+        ),
+        min_size=1,
+        max_size=9,
+    ),
+)
+def test_every_chooser_returns_a_candidate(
+    name: str, seed: int, candidates: list[Candidate]
+) -> None:
+    """Guards against a chooser that fails on odd reports or few servers."""
+    choice = ChoiceInput(1e6, Random(seed), seed, Typical(3, 2))
+    near = [candidate for candidate in candidates if candidate.near]
+    far = [candidate for candidate in candidates if not candidate.near]
+    chosen = choose_with_spill(CHOOSERS.get(name), near, far, choice)
+    assert chosen in candidates
+
+
+def test_idle_server_does_not_attract_every_chooser() -> None:
+    """Guards against a herd on a server that reported to be idle."""
+    busy = LoadReport(5, 10, 0, 3000)
+    candidates = [
+        Candidate(member_of(f's{n}'), 0, busy, 0, 0, 3, 0) for n in range(5)
+    ]
+    idle = Candidate(
+        member_of('idle'), 0, LoadReport(0, 10, 0, 3000), 0, 0, 3, 0
+    )
+    for name in ('two-choices', 'hot-cold', 'expected-wait'):
+        chosen = Counter(
+            CHOOSERS.get(name)(
+                [*candidates, idle],
+                ChoiceInput(1, Random(seed), seed, Typical(3, 5)),
+            ).member.daemon_id
+            for seed in range(600)
+        )
+        assert chosen['idle'] < 400, (name, chosen)
+
+
+def test_old_reports_lose_their_weight() -> None:
+    """Guards against avoiding a server for an old busy report."""
+    full = LoadReport(10, 10, 20, 3000)
+    usual = Candidate(member_of('a'), 1, LoadReport(3, 10, 0, 3000), 10_000, 1)
+    old = Candidate(member_of('b'), 0, full, 0, 0)
+    choice = ChoiceInput(10_000, Random(1), 0, Typical(3, 2))
+    choose = CHOOSERS.get('two-choices')
+    assert choose([usual, old], choice).member.daemon_id == 'b'
+
+
+def test_server_that_does_not_answer_is_avoided() -> None:
+    """Guards against sending to a frozen server until the deadline."""
+    frozen = Candidate(member_of('a'), 1, None, 0, 0, 2, 0, waiting_since_ms=0)
+    other = Candidate(member_of('b'), 5, None, 0, 0, 2, 0, waiting_since_ms=99)
+    choice = ChoiceInput(100, Random(1), 0, Typical(2, 0))
+    choose = CHOOSERS.get('expected-wait')
+    assert choose([frozen, other], choice).member.daemon_id == 'b'
+
+
+def test_far_zone_is_used_only_before_queueing() -> None:
+    """Guards against crossing zones without need, and against a queue."""
+    near = Candidate(member_of('n'), 2, LoadReport(2, 10, 0, 0), 0, 2, 5, 0)
+    full = near._replace(own_in_flight=12)
+    far = near._replace(member=member_of('f', 'zone-2'), near=False)
+    choose = CHOOSERS.get('expected-wait')
+    choice = ChoiceInput(1, Random(1), 0, Typical(5, 0))
+    assert choose_with_spill(choose, [near], [far], choice) == near
+    assert choose_with_spill(choose, [full], [far], choice) == far
+
+
+def test_cold_server_gets_a_small_share() -> None:
+    """Guards against full load on a server that has just started."""
+    warm = [Candidate(member_of(f's{n}'), 3) for n in range(3)]
+    cold = Candidate(member_of('cold'), 0, serving_since_ms=0)
+    choose = CHOOSERS.get('two-choices')
+    chosen = Counter(
+        choose(
+            [*warm, cold], ChoiceInput(1000, Random(seed), 0)
+        ).member.daemon_id
+        for seed in range(1000)
+    )
+    assert 0 < chosen['cold'] < 150, chosen
+
+
+def test_hedge_delay_needs_evidence() -> None:
+    """Guards against hedging on too few latencies."""
+    assert hedge_delay_ms([5.0] * 31) is None
+    assert hedge_delay_ms([5.0] * 95 + [50.0] * 5) == 50
+    assert hedge_delay_ms([0.1] * 100) == 2
+
+
+@DETERMINISTIC
+@given(st.text(max_size=15))
+def test_deadline_is_bounded(text: str) -> None:
+    """Guards against a deadline that is malformed or without end."""
+    parsed = parse_deadline_ms(text, 5000, 60_000)
+    if text.isascii() and text.isdecimal() and len(text) <= 12:
+        assert parsed == min(int(text), 60_000)
+    else:
+        assert parsed is None
--- /dev/null
+++ b/bergamotshunt/tests/test_views.py
@@ -0,0 +1,84 @@
+"""State of a service as one chooser sees it."""
+
+from random import Random
+
+from bergamotshunt.calls import LoadReport
+from bergamotshunt.tests.test_call_decisions import member_of
+from bergamotshunt.views import AttemptEnd, ServiceView, ViewRules
+
+
+def view_of(names: str, chooser: str = 'expected-wait') -> ServiceView:
+    view = ServiceView(ViewRules(chooser, 'zone-1'), Random(1), 0)
+    view.replace_members([member_of(name) for name in names], 0)
+    return view
+
+
+def run(
+    view: ServiceView, now_ms: float, failing: str = '', tried: tuple = ()
+) -> str:
+    choice = view.choose(now_ms, tried, trial_allowed=True)
+    assert choice is not None
+    name = choice.candidate.member.daemon_id
+    view.begin(name, now_ms)
+    end = AttemptEnd('t', 5, name in failing, report=LoadReport(1, 10, 0, 5000))
+    view.finish(name, end, now_ms + 5, choice.is_trial)
+    return name
+
+
+def test_failing_server_is_ejected_within_the_bound_and_returns() -> None:
+    """Guards against fast failures that attract traffic, and for good."""
+    view = view_of('abcdef', 'random')
+    for step in range(200):
+        run(view, step * 10.0, 'abc')
+    assert len(view.ejected.ejection_by_id) <= 2
+    view = view_of('abcdef', 'random')
+    for step in range(200):
+        run(view, step * 10.0, 'a')
+    assert set(view.ejected.ejection_by_id) == {'a'}
+    assert len(view.near) == 5
+    for step in range(200, 1000):
+        run(view, step * 10.0)
+    assert not view.ejected.ejection_by_id
+    assert len(view.near) == 6
+
+
+def test_fast_failure_counts_as_slow() -> None:
+    """Guards against a server that fails fast and looks like the best."""
+    view = view_of('ab')
+    counts = {'a': 0, 'b': 0}
+    for step in range(100):
+        counts[run(view, step * 1.0, 'a')] += 1
+    assert counts['a'] < 10, counts
+
+
+def test_tried_server_is_chosen_only_when_no_other_is_left() -> None:
+    """Guards against a retry at the server that just failed."""
+    view = view_of('ab')
+    for step in range(50):
+        assert run(view, step, tried=('a',)) == 'b'
+    assert run(view, 60, tried=('a', 'b')) in {'a', 'b'}
+    assert ServiceView(view.rules, Random(1), 0).choose(0) is None
+
+
+def test_ejections_keep_to_the_bound_when_servers_leave() -> None:
+    """Guards against a service whose last servers are all ejected."""
+    view = view_of('abcdef', 'random')
+    for step in range(300):
+        run(view, step * 10.0, 'ab')
+    assert set(view.ejected.ejection_by_id) == {'a', 'b'}
+    view.replace_members([member_of(name) for name in 'abc'], 4000)
+    assert len(view.ejected.ejection_by_id) == 1
+    view.replace_members([member_of('a')], 4000)
+    assert not view.ejected.ejection_by_id
+    assert run(view, 4001) == 'a'
+
+
+def test_own_requests_in_flight_are_counted() -> None:
+    """Guards against a count that drifts when attempts are cancelled."""
+    view = view_of('a')
+    for step in range(3):
+        view.begin('a', step)
+    view.cancel('a', is_trial=False)
+    view.finish('a', AttemptEnd('t', 1), 5)
+    assert view.candidate_by_id['a'].own_in_flight == 1
+    assert view.near[0] is view.candidate_by_id['a']
--- a/bergamotshunt/transport.py
+++ b/bergamotshunt/transport.py
@@ -1,12 +1,14 @@
 """HTTP client of the daemon: one request to one server, with a verdict."""
 
-from collections.abc import Mapping
+from collections.abc import AsyncIterable, AsyncIterator, Iterable, Mapping
 from http import HTTPStatus
-from typing import Final, NamedTuple
+from types import TracebackType
+from typing import Any, Final, NamedTuple, Self
 
 from aiohttp import (
     ClientConnectorError,
     ClientError,
+    ClientResponse,
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
@@ -16,6 +18,7 @@
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from bergamotshunt.decisions.deadlines import connect_timeout_ms
 from bergamotshunt.headers import CONTENT_LENGTH, HOP_BY_HOP, REQUEST_ID
 from bergamotshunt.verdicts import (
     CallFailure,
@@ -25,6 +28,16 @@
 
 MS_PER_S: Final = 1000
 KEEP_ALIVE_S: Final = 60
+# aiohttp stops reading from a connection at twice this size, so that a
+# streamed answer holds at most 64 KiB.
+READ_BUFFER_BYTES: Final = 32_768
+# aiohttp rounds timeouts above this up to whole seconds.
+NEVER_ROUND_S: Final = 1e9
+# TimeoutError is an OSError.
+SENDING_ERRORS: Final = (ClientError, OSError, ValueError)
+
+Headers = Mapping[str, str] | Iterable[tuple[str, str]]
+RawHeaders = tuple[tuple[bytes, bytes], ...]
 
 
 class HttpRequest(NamedTuple):
@@ -33,24 +46,117 @@
     Attributes:
         method: HTTP method.
         url: Base URL and path, already encoded.
-        headers: Headers to send.
-        body: The whole body.
+        headers: Headers to send, as a mapping or as pairs.
+        body: The whole body, or its chunks.
         timeout_ms: Time until the whole answer has to be there.
     """
 
     method: str
     url: str
-    headers: Mapping[str, str]
-    body: bytes
+    headers: Headers
+    body: bytes | AsyncIterable[bytes]
     timeout_ms: float
 
 
 class HttpAnswer(NamedTuple):
-    """Whole answer to a request, names of headers in lower case."""
+    """Whole answer to a request.
+
+    Attributes:
+        status: HTTP status.
+        headers: Names in lower case; of repeated ones only the last.
+        body: The whole body.
+        raw_headers: All headers as they were received.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes
+    raw_headers: RawHeaders = ()
+
+
+class Exchange:
+    """Answer whose head has arrived; the connection is still in use.
+
+    Use it as an asynchronous context manager: a connection whose answer
+    was not read to its end is closed, not used again.
+    """
+
+    def __init__(self, response: ClientResponse, timeout_ms: float) -> None:
+        """Wrap a response of the library."""
+        self._response = response
+        self._timeout_ms = timeout_ms
+        self.status = response.status
+        self.raw_headers: RawHeaders = response.raw_headers
+
+    async def __aenter__(self) -> Self:
+        """Return the exchange."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the connection unless the answer was read to its end."""
+        self.abort()
+
+    @property
+    def has_length(self) -> bool:
+        """Whether the end of the body can be told from a lost connection."""
+        headers = self._response.headers
+        return (
+            'Content-Length' in headers
+            or 'Transfer-Encoding' in headers
+            or self._response.method == 'HEAD'
+            or self.status in {HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED}
+        )
+
+    def header(self, name: str) -> str | None:
+        """Return the value of a header, or None."""
+        return self._response.headers.get(name)
+
+    def length(self) -> int | None:
+        """Return the stated length of the body, or None."""
+        text = self._response.headers.get('Content-Length', '')
+        return int(text) if text.isdecimal() else None
+
+    async def read(self, max_bytes: int) -> Result[bytes, CallFailure]:
+        """Read up to the end, or to just over ``max_bytes``.
+
+        ``is_complete`` tells afterwards which of both it was.
+        """
+        chunks = []
+        size = 0
+        stream = self._response.content
+        try:
+            while size <= max_bytes:
+                chunk = await stream.readany()
+                if not chunk:
+                    break
+                chunks.append(chunk)
+                size += len(chunk)
+        except SENDING_ERRORS as error:
+            return Failure(explain_error(error, self._timeout_ms))
+        return Success(chunks[0] if len(chunks) == 1 else b''.join(chunks))
+
+    def is_complete(self) -> bool:
+        """Tell whether the whole body was received and read."""
+        return self._response.content.at_eof()
+
+    async def iterate(self) -> AsyncIterator[bytes]:
+        """Yield the rest of the body.
+
+        Raises:
+            OSError, ClientError, TimeoutError: The body was cut short.
+        """
+        async for chunk in self._response.content.iter_any():
+            yield chunk
+
+    def abort(self) -> None:
+        """Close the connection unless the answer was read to its end."""
+        if self._response.connection is not None:
+            self._response.close()
 
 
 class Sender:
@@ -75,11 +181,38 @@
             cookie_jar=DummyCookieJar(),
             auto_decompress=False,
             raise_for_status=False,
+            read_bufsize=READ_BUFFER_BYTES,
+            skip_auto_headers=('User-Agent', 'Content-Type', 'Accept'),
         )
         # aiohttp resends PUT and DELETE on a kept connection that the
         # server closed, which can run a booking twice.
         self._session._retry_connection = False
 
+    async def open(self, request: HttpRequest) -> Result[Exchange, CallFailure]:
+        """Send a request and wait for the head of the answer.
+
+        Returns:
+            The exchange, which has to be closed, or a failure whose
+            verdict tells whether the server may have run the request.
+        """
+        timeout_ms = request.timeout_ms
+        try:
+            response = await self._session.request(
+                request.method,
+                URL(request.url, encoded=True),
+                headers=request.headers,
+                data=request.body or None,
+                allow_redirects=False,
+                timeout=ClientTimeout(
+                    total=timeout_ms / MS_PER_S,
+                    connect=connect_timeout_ms(timeout_ms) / MS_PER_S,
+                    ceil_threshold=NEVER_ROUND_S,
+                ),
+            )
+        except SENDING_ERRORS as error:
+            return Failure(explain_error(error, timeout_ms))
+        return Success(Exchange(response, timeout_ms))
+
     async def send(
         self, request: HttpRequest
     ) -> Result[HttpAnswer, CallFailure]:
@@ -89,41 +222,53 @@
             The answer, or a failure whose verdict tells whether the
             server may have run the request.
         """
-        try:
-            return Success(await self._exchange(request))
-        except (ClientConnectorError, ConnectionTimeoutError) as error:
-            return Failure(create_refusal('unreachable', str(error)))
-        except TimeoutError:
-            return Failure(
-                create_unknown_outcome(
-                    'timeout',
-                    f'no whole answer within {request.timeout_ms:.0f} ms',
-                    HTTPStatus.GATEWAY_TIMEOUT,
-                ),
-            )
-        except (ClientError, OSError) as error:
-            detail = f'{type(error).__name__}: {error}'
-            return Failure(create_unknown_outcome('connection-lost', detail))
+        match await self.open(request):
+            case Success(exchange):
+                return await read_answer(exchange, request.timeout_ms)
+            case Failure(failure):
+                return Failure(failure)
+        raise AssertionError('a result is a success or a failure')
 
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
 
-    async def _exchange(self, request: HttpRequest) -> HttpAnswer:
-        async with self._session.request(
-            request.method,
-            URL(request.url, encoded=True),
-            headers=request.headers,
-            data=request.body,
-            allow_redirects=False,
-            timeout=ClientTimeout(total=request.timeout_ms / MS_PER_S),
-            skip_auto_headers=('User-Agent', 'Content-Type', 'Accept'),
-        ) as response:
+
+async def read_answer(
+    exchange: Exchange,
+    timeout_ms: float,
+) -> Result[HttpAnswer, CallFailure]:
+    """Read a whole answer of any size and end the exchange."""
+    response = exchange._response  # noqa: SLF001, WPS437
+    async with exchange:
+        try:
             body = await response.read()
-            headers = {
-                name.lower(): text for name, text in response.headers.items()
-            }
-            return HttpAnswer(response.status, headers, body)
+        except SENDING_ERRORS as error:
+            return Failure(explain_error(error, timeout_ms))
+        headers = {
+            name.lower(): text for name, text in response.headers.items()
+        }
+        return Success(
+            HttpAnswer(exchange.status, headers, body, exchange.raw_headers)
+        )
+
+
+def explain_error(error: Exception, timeout_ms: float) -> CallFailure:
+    """Tell from an error whether the server may have run the request.
+
+    Only an error that precedes the connection proves that nothing was
+    sent: what was written may have been read, whatever came after.
+    """
+    if isinstance(error, (ClientConnectorError, ConnectionTimeoutError)):
+        return create_refusal('unreachable', str(error))
+    if isinstance(error, TimeoutError):
+        return create_unknown_outcome(
+            'timeout',
+            f'no whole answer within {timeout_ms:.0f} ms',
+            HTTPStatus.GATEWAY_TIMEOUT,
+        )
+    detail = f'{type(error).__name__}: {error}'
+    return create_unknown_outcome('connection-lost', detail)
 
 
 def check_request_id(
@@ -148,3 +293,21 @@
         for name, text in headers.items()
         if name not in HOP_BY_HOP and name != CONTENT_LENGTH
     )
+
+
+def end_to_end_raw(raw_headers: Any) -> list[tuple[bytes, bytes]]:
+    """Drop hop-by-hop headers and the length; keep repeated headers.
+
+    Args:
+        raw_headers: Pairs of name and value as they were received.
+
+    Returns:
+        The pairs with names in lower case, as ASGI wants them.
+    """
+    lowered = ((name.lower(), text) for name, text in raw_headers)
+    return [pair for pair in lowered if pair[0] not in DROPPED]
+
+
+DROPPED: Final = frozenset(
+    name.encode() for name in (*HOP_BY_HOP, CONTENT_LENGTH)
+)
