Carry calls with retries, hedging, bookings and exact verdicts

Cause: the entry sent each call once, took any answer for its own, and could not carry bookings, large bodies or a drain. The entry refuses while targets are missing or unconfirmed, when its id is taken over, when it is full, and while it drains; drain waits for calls in flight. web.py logs a failed application and answers with a problem document. New setting calls.max_deadline_ms (60,000); the default of calls.max_ejected_share becomes 1/3. Found by the new tests: aiohttp returns a connection to its pool as soon as the answer has ended, so an answer with a foreign request id left its connection in use; the connection is now closed (answer_reading.py). Ruled out: retrying a reset connection as not run. Bytes may lie in the socket buffer of the server, so only a failed connection counts as not run.

--- /dev/null
+++ b/bergamotshunt/answer_reading.py
@@ -0,0 +1,139 @@
+"""Judgement on an answer that another daemon sent."""
+
+from base64 import b64encode
+from hashlib import sha256
+from http import HTTPStatus
+from typing import Final
+
+from msgspec import DecodeError
+from msgspec.json import decode
+from returns.result import Failure, Result, Success
+
+from bergamotshunt.call_parts import CallAnswer
+from bergamotshunt.headers import (
+    CONTENT_DIGEST,
+    LOAD,
+    REQUEST_ID,
+    RETRY_AFTER,
+    SUCCESSOR,
+    VERDICT,
+)
+from bergamotshunt.transport import Exchange, end_to_end_raw
+from bergamotshunt.verdicts import (
+    CallFailure,
+    ProblemDocument,
+    Verdict,
+    create_unknown_outcome,
+)
+
+MS_PER_S: Final = 1000
+MAX_PROBLEM_BYTES: Final = 65_536
+MAX_DIGITS: Final = 6
+REASON_PREFIX: Final = 'urn:bergamotshunt:problem:'
+FAILURE_STATUSES: Final = frozenset(
+    status.value for status in HTTPStatus if status >= HTTPStatus.BAD_REQUEST
+)
+FAILURE_VERDICTS: Final = frozenset(
+    (Verdict.NOT_RUN.value, Verdict.MAY_HAVE_RUN.value)
+)
+# For the sender only; the digest is checked and may not fit what a
+# server in between makes of the body.
+HIDDEN: Final = frozenset(
+    name.encode() for name in (LOAD, SUCCESSOR, CONTENT_DIGEST)
+)
+
+
+async def judge_answer(
+    exchange: Exchange, request_id: str, max_bytes: int
+) -> Result[CallAnswer, CallFailure]:
+    """Read an answer whose head has arrived.
+
+    Returns:
+        The answer, with its start only when it is larger than
+        ``max_bytes``, or a failure.
+    """
+    if exchange.header(REQUEST_ID) != request_id:
+        exchange.drop()
+        return lose(
+            'foreign-answer',
+            'the answer does not carry the id of this request',
+        )
+    if not exchange.has_length:
+        return lose('open-ended-answer', 'the end of the answer is not told')
+    verdict = exchange.header(VERDICT)
+    if verdict == Verdict.RAN.value:
+        received = await exchange.read(max_bytes)
+        return received.bind(lambda body: check_body(exchange, body))
+    return Failure(await read_failure(exchange, verdict))
+
+
+def check_body(
+    exchange: Exchange, body: bytes
+) -> Result[CallAnswer, CallFailure]:
+    """Check a body by its digest and build the answer."""
+    if exchange.is_complete() and has_wrong_digest(exchange, body):
+        return lose('damaged-answer', 'the answer does not match its digest')
+    headers = [
+        pair
+        for pair in end_to_end_raw(exchange.raw_headers)
+        if pair[0] not in HIDDEN
+    ]
+    return Success(
+        CallAnswer(exchange.status, headers, body, length=exchange.length())
+    )
+
+
+def lose(reason: str, detail: str) -> Failure[CallFailure]:
+    """Fail with an answer that is lost, after the request may have run."""
+    return Failure(create_unknown_outcome(reason, detail))
+
+
+async def read_failure(exchange: Exchange, verdict: str | None) -> CallFailure:
+    """Read a refusal or failure that another daemon sent."""
+    received = await exchange.read(MAX_PROBLEM_BYTES)
+    reason, detail = parse_problem(received.value_or(b''))
+    if verdict not in FAILURE_VERDICTS:
+        return create_unknown_outcome(
+            'foreign-answer', 'the answer does not carry a verdict'
+        )
+    retry_after = exchange.header(RETRY_AFTER) or ''
+    return CallFailure(
+        Verdict(verdict),
+        parse_status(exchange.status),
+        reason,
+        detail,
+        int(retry_after) * MS_PER_S if is_short_number(retry_after) else 0,
+        exchange.header(SUCCESSOR) or '',
+    )
+
+
+def parse_problem(body: bytes) -> tuple[str, str]:
+    """Return reason and detail of a problem document."""
+    try:
+        problem = decode(body, type=ProblemDocument)
+    except DecodeError:
+        return 'refused', 'the server refused without a reason'
+    return problem['type'].removeprefix(REASON_PREFIX), problem['detail']
+
+
+def parse_status(status: int) -> HTTPStatus:
+    """Return the status of a failure; unknown ones become 502."""
+    if status in FAILURE_STATUSES:
+        return HTTPStatus(status)
+    return HTTPStatus.BAD_GATEWAY
+
+
+def is_short_number(text: str) -> bool:
+    """Tell whether the text is a number of up to 6 digits."""
+    return len(text) <= MAX_DIGITS and text.isascii() and text.isdecimal()
+
+
+def has_wrong_digest(exchange: Exchange, body: bytes) -> bool:
+    """Tell whether a body differs from its SHA-256 digest, if stated."""
+    stated = exchange.header(CONTENT_DIGEST)
+    if stated is None or exchange.method == 'HEAD':
+        return False
+    prefix, _, encoded = stated.partition(':')
+    if prefix != 'sha-256=':
+        return False
+    return encoded.rstrip(':') != b64encode(sha256(body).digest()).decode()
--- /dev/null
+++ b/bergamotshunt/attempts.py
@@ -0,0 +1,242 @@
+"""One attempt of a call: a request to one server, and its outcome."""
+
+from collections.abc import AsyncGenerator, Callable
+from http import HTTPStatus
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from bergamotshunt.answer_reading import judge_answer
+from bergamotshunt.call_parts import Attempt, CallAnswer
+from bergamotshunt.calls import LoadReport
+from bergamotshunt.decisions.deadlines import attempt_timeout_ms
+
+# An attempt writes most headers of the protocol between daemons.
+from bergamotshunt.headers import (  # noqa: WPS235
+    ATTEMPT,
+    DEADLINE_MS,
+    DEPTH,
+    INCARNATION,
+    INTERNAL,
+    LOAD,
+    REQUEST_ID,
+    TARGET,
+    parse_load,
+)
+from bergamotshunt.transport import (
+    SENDING_ERRORS,
+    Exchange,
+    HttpRequest,
+    Sender,
+    explain_error,
+)
+from bergamotshunt.verdicts import (
+    CallFailure,
+    CutShortError,
+    Verdict,
+    create_refusal,
+)
+from bergamotshunt.views import AttemptEnd, ServiceView
+
+# Statuses that a failing server answers with; other errors are the
+# caller's or belong to the service's own protocol.
+FAILED_STATUSES: Final = frozenset((500, 502, 503, 504))
+# Refusals by a daemon whose own backend server does not work.
+FAILED_REASONS: Final = frozenset(('unreachable', 'server-down'))
+
+
+class Course:
+    """Tells a view how one attempt goes; ends exactly once."""
+
+    def __init__(
+        self,
+        view: ServiceView,
+        attempt: Attempt,
+        clock_ms: Callable[[], float],
+    ) -> None:
+        """Note the begin of the attempt."""
+        self.view = view
+        self.attempt = attempt
+        self.clock_ms = clock_ms
+        self.begun_ms = clock_ms()
+        self.report: LoadReport | None = None
+        self.is_open = True
+        view.begin(attempt.member.daemon_id, self.begun_ms)
+
+    def end(self, failed: bool = False, refused: bool = False) -> None:
+        """Note the end."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        now_ms = self.clock_ms()
+        self.view.finish(
+            self.attempt.member.daemon_id,
+            AttemptEnd(
+                self.attempt.head.target.name,
+                now_ms - self.begun_ms,
+                failed,
+                refused,
+                self.report,
+            ),
+            now_ms,
+            self.attempt.is_trial,
+        )
+
+    def end_with(self, outcome: Result[CallAnswer, CallFailure]) -> None:
+        """Note the end with its outcome; an answer may still stream."""
+        match outcome:
+            case Success(answer):
+                if answer.rest is None:
+                    self.end(failed=answer.status in FAILED_STATUSES)
+            case Failure(failure):
+                refused = failure.verdict is not Verdict.MAY_HAVE_RUN
+                broken = failure.reason in FAILED_REASONS
+                self.end(
+                    failed=broken or not refused,
+                    refused=refused and not broken,
+                )
+
+    def cancel(self) -> None:
+        """Note that the attempt was given up."""
+        if self.is_open:
+            self.is_open = False
+            self.view.cancel(
+                self.attempt.member.daemon_id,
+                self.begun_ms,
+                self.clock_ms(),
+                self.attempt.head.target.name,
+                self.attempt.is_trial,
+            )
+
+
+class AttemptRunner:
+    """Runs attempts over the connections of one owner.
+
+    Args:
+        sender: Connections.
+        clock_ms: Monotonic time in milliseconds.
+        body_buffer_bytes: Larger answers are streamed.
+    """
+
+    def __init__(
+        self,
+        sender: Sender,
+        clock_ms: Callable[[], float],
+        body_buffer_bytes: int,
+    ) -> None:
+        """Create a runner."""
+        self.sender = sender
+        self.clock_ms = clock_ms
+        self.body_buffer_bytes = body_buffer_bytes
+
+    async def run(
+        self, view: ServiceView, attempt: Attempt
+    ) -> Result[CallAnswer, CallFailure]:
+        """Send one attempt.
+
+        Returns:
+            The answer to exactly this request, whole or streaming, or a
+            failure with the verdict on this attempt.
+        """
+        course = Course(view, attempt, self.clock_ms)
+        timeout_ms = attempt_timeout_ms(
+            attempt.head.deadline_ms, course.begun_ms
+        )
+        if timeout_ms is None:
+            course.cancel()
+            return Failure(create_late_refusal())
+        try:
+            outcome = await self._exchange(course, attempt, timeout_ms)
+        except BaseException:
+            course.cancel()
+            raise
+        course.end_with(outcome)
+        return outcome
+
+    async def _exchange(
+        self, course: Course, attempt: Attempt, timeout_ms: float
+    ) -> Result[CallAnswer, CallFailure]:
+        opened = await self.sender.open(create_request(attempt, timeout_ms))
+        if isinstance(opened, Failure):
+            return Failure(opened.failure())
+        exchange = opened.unwrap()
+        is_streaming = False
+        try:
+            course.report = parse_load(exchange.header(LOAD) or '')
+            judged = await judge_answer(
+                exchange, attempt.head.request_id, self.body_buffer_bytes
+            )
+            is_streaming = (
+                isinstance(judged, Success) and not exchange.is_complete()
+            )
+            return judged.map(
+                lambda answer: answer._replace(
+                    daemon_id=attempt.member.daemon_id,
+                    rest=stream_rest(course, exchange)
+                    if is_streaming
+                    else None,
+                )
+            )
+        finally:
+            if not is_streaming:
+                exchange.abort()
+
+
+async def stream_rest(
+    course: Course, exchange: Exchange
+) -> AsyncGenerator[bytes, None]:
+    """Yield what follows the buffered start of an answer.
+
+    Raises:
+        CutShortError: The answer ended before it was whole.
+    """
+    try:
+        async for chunk in exchange.iterate():
+            yield chunk
+    except SENDING_ERRORS as error:
+        course.end(failed=True)
+        detail = explain_error(error, 0).detail
+        raise CutShortError(detail) from error
+    else:
+        course.end()
+    finally:
+        course.cancel()
+        exchange.abort()
+
+
+def create_request(attempt: Attempt, timeout_ms: float) -> HttpRequest:
+    """Build the HTTP request of an attempt."""
+    head = attempt.head
+    member = attempt.member
+    headers = [
+        *head.headers,
+        (REQUEST_ID, head.request_id),
+        (DEADLINE_MS, str(int(timeout_ms))),
+        (TARGET, head.target.name),
+        # A server passes the depth on unchanged in its own calls, so it is
+        # told the depth of these.
+        (DEPTH, str(head.depth + 1)),
+        (ATTEMPT, str(attempt.number)),
+        *attempt.booking_headers,
+    ]
+    if member.process_id:
+        headers.append((INCARNATION, str(member.process_id)))
+    if head.internal:
+        headers.append((INTERNAL, '1'))
+    host = f'[{member.ip}]' if ':' in member.ip else member.ip
+    return HttpRequest(
+        head.method,
+        f'http://{host}:{member.peers_port}{head.path}',
+        headers,
+        attempt.body.stream or attempt.body.whole,
+        timeout_ms,
+    )
+
+
+def create_late_refusal() -> CallFailure:
+    """Build the refusal of an attempt that has no time left."""
+    return create_refusal(
+        'deadline',
+        'no time was left to send the request',
+        HTTPStatus.GATEWAY_TIMEOUT,
+    )
--- /dev/null
+++ b/bergamotshunt/calling.py
@@ -0,0 +1,220 @@
+"""Calls: choice of servers, retries, hedged requests and verdicts.
+
+The entry and the client library use this module; it knows nothing of the
+server side of HTTP.
+"""
+
+from asyncio import FIRST_COMPLETED, create_task, gather, sleep, wait
+from asyncio import Task as AsyncioTask
+from collections.abc import Callable, Collection
+from math import inf
+from random import Random
+from typing import Final, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from bergamotshunt.attempts import AttemptRunner
+from bergamotshunt.call_parts import Attempt, CallAnswer, CallBody
+from bergamotshunt.calls import CallHead
+from bergamotshunt.decisions.deadlines import attempt_timeout_ms
+from bergamotshunt.decisions.hedging import is_hedging_permitted
+from bergamotshunt.decisions.retries import (
+    MAX_ATTEMPTS,
+    backoff_ms,
+    combine_failures,
+    is_retry_permitted,
+)
+from bergamotshunt.metrics import EXTRA_ATTEMPTS
+from bergamotshunt.verdicts import CallFailure, create_refusal
+from bergamotshunt.views import Choice, ServiceView
+
+MS_PER_S: Final = 1000
+
+Outcome = Result[CallAnswer, CallFailure]
+
+
+class CallTools(NamedTuple):
+    """What all calls of one owner share."""
+
+    runner: AttemptRunner
+    rng: Random
+    clock_ms: Callable[[], float]
+
+
+class PlainCall:
+    """One call of an idempotent target.
+
+    Args:
+        tools: What all calls share.
+        view: Servers of the called service.
+        head: The call.
+        body: Its body; a streamed one is sent only once.
+    """
+
+    def __init__(
+        self,
+        tools: CallTools,
+        view: ServiceView,
+        head: CallHead,
+        body: CallBody,
+    ) -> None:
+        """Create a call without attempts."""
+        self.tools = tools
+        self.view = view
+        self.head = head
+        self.body = body
+        self.tried: set[str] = set()
+        self.attempts = 0
+        self.failures: list[CallFailure] = []
+        self.not_before_ms_by_id: dict[str, float] = {}
+
+    async def run(self) -> Outcome:
+        """Make attempts until one succeeds or none is left."""
+        while True:
+            choice = self._choose()
+            if choice is None:
+                self.failures.append(create_no_server(self.head.service))
+                return Failure(combine_failures(self.failures))
+            outcome = await self._attempt(choice)
+            if isinstance(outcome, Success):
+                return outcome
+            if not await self._may_go_on():
+                return Failure(combine_failures(self.failures))
+
+    def _choose(self) -> Choice | None:
+        now_ms = self.tools.clock_ms()
+        tried: Collection[str] = self.tried
+        if self.tried and not self.view.has_other_than(self.tried):
+            tried = {
+                daemon_id
+                for daemon_id, not_before_ms in self.not_before_ms_by_id.items()
+                if not_before_ms > now_ms
+            }
+        return self.view.choose(
+            now_ms, tried, 0 if self.body.stream is None else inf
+        )
+
+    async def _attempt(self, choice: Choice) -> Outcome:
+        """Make an attempt, the first one hedged when it is slow."""
+        delay_ms = None
+        if not self.attempts and self.body.stream is None:
+            delay_ms = self._hedge_delay_ms()
+        if delay_ms is None:
+            return await self._send(choice)
+        first = create_task(self._send(choice))
+        tasks = [first]
+        try:
+            await wait(tasks, timeout=delay_ms / MS_PER_S)
+            second = None if first.done() else self._choose_hedge()
+            if second is not None:
+                tasks.append(create_task(self._send(second)))
+            return await take_first_answer(tasks)
+        finally:
+            await end_tasks(tasks)
+
+    async def _send(self, choice: Choice) -> Outcome:
+        daemon_id = choice.candidate.member.daemon_id
+        self.tried.add(daemon_id)
+        self.attempts += 1
+        outcome = await self.tools.runner.run(
+            self.view,
+            Attempt(
+                self.head,
+                self.body,
+                choice.candidate.member,
+                self.attempts,
+                is_trial=choice.is_trial,
+            ),
+        )
+        if isinstance(outcome, Failure):
+            failure = outcome.failure()
+            self.failures.append(failure)
+            self.not_before_ms_by_id[daemon_id] = (
+                self.tools.clock_ms() + failure.retry_after_ms
+            )
+        return outcome
+
+    def _hedge_delay_ms(self) -> float | None:
+        if not is_hedging_permitted(self.head):
+            return None
+        delay_ms = self.view.extra_load.hedge_delay_ms(self.head.target.name)
+        if delay_ms is None or len(self.view.candidate_by_id) < 2:
+            return None
+        left_ms = self.head.deadline_ms - self.tools.clock_ms()
+        return delay_ms if delay_ms < left_ms else None
+
+    def _choose_hedge(self) -> Choice | None:
+        if not self.view.has_other_than(self.tried):
+            return None
+        if not self.view.extra_load.pay_hedge():
+            return None
+        EXTRA_ATTEMPTS.labels(self.head.service, 'hedge').inc()
+        return self.view.choose(self.tools.clock_ms(), self.tried)
+
+    async def _may_go_on(self) -> bool:
+        """Decide on one more attempt, and wait for its time."""
+        if self.body.stream is not None or self.attempts >= MAX_ATTEMPTS:
+            return False
+        if not all(
+            is_retry_permitted(self.head, earlier) for earlier in self.failures
+        ):
+            return False
+        pause_ms = self._pause_ms()
+        starts_at_ms = self.tools.clock_ms() + pause_ms
+        if attempt_timeout_ms(self.head.deadline_ms, starts_at_ms) is None:
+            return False
+        if not self.view.extra_load.pay_retry():
+            EXTRA_ATTEMPTS.labels(self.head.service, 'over-budget').inc()
+            return False
+        EXTRA_ATTEMPTS.labels(self.head.service, 'retry').inc()
+        if pause_ms > 0:
+            await sleep(pause_ms / MS_PER_S)
+        return True
+
+    def _pause_ms(self) -> float:
+        is_fresh = self.view.has_other_than(self.tried)
+        pause_ms = backoff_ms(len(self.failures), is_fresh, self.tools.rng)
+        if is_fresh:
+            return pause_ms
+        soonest_ms = min(self.not_before_ms_by_id.values())
+        return max(pause_ms, soonest_ms - self.tools.clock_ms())
+
+
+async def take_first_answer(tasks: list[AsyncioTask[Outcome]]) -> Outcome:
+    """Wait until one attempt succeeds or all have failed."""
+    pending = set(tasks)
+    while pending:
+        _, pending = await wait(pending, return_when=FIRST_COMPLETED)
+        for task in tasks:
+            if task.done() and isinstance(task.result(), Success):
+                return task.result()
+    return tasks[0].result()
+
+
+async def end_tasks(tasks: list[AsyncioTask[Outcome]]) -> None:
+    """Cancel the attempts that still run, which closes their connections.
+
+    A second answer that arrived at the same time is closed as well; the
+    first one in the list with an answer is the one that is used.
+    """
+    for task in tasks:
+        task.cancel()
+    outcomes = await gather(*tasks, return_exceptions=True)
+    answers = [
+        outcome.unwrap() for outcome in outcomes if isinstance(outcome, Success)
+    ]
+    for unused in answers[1:]:
+        await close_answer(unused)
+
+
+async def close_answer(answer: CallAnswer) -> None:
+    """Give up an answer that may still stream."""
+    if answer.rest is not None:
+        await answer.rest.aclose()
+
+
+def create_no_server(service: str) -> CallFailure:
+    """Build the refusal of a call to a service without servers."""
+    return create_refusal(
+        'no-server', f'no backend server of {service} is serving'
+    )
--- a/bergamotshunt/headers.py
+++ b/bergamotshunt/headers.py
@@ -28,6 +28,7 @@
 CONTENT_DIGEST: Final = 'content-digest'
 CONTENT_LENGTH: Final = 'content-length'
 RETRY_AFTER: Final = 'retry-after'
+MAX_DIGITS: Final = 15
 
 HOP_BY_HOP: Final = frozenset(
     (
@@ -54,6 +55,8 @@
     fields = text.split(';')
     if len(fields) != len(LoadReport._fields):
         return None
-    if not all(field.isdecimal() for field in fields):
+    if not all(
+        len(field) <= MAX_DIGITS and field.isdecimal() for field in fields
+    ):
         return None
     return LoadReport(*(int(field) for field in fields))
--- a/bergamotshunt/metrics.py
+++ b/bergamotshunt/metrics.py
@@ -6,7 +6,7 @@
 
 from typing import Final
 
-from prometheus_client import Counter, Gauge
+from prometheus_client import Counter, Gauge, Histogram
 
 TARGETS_REVISION: Final = Gauge(
     'bergamotshunt_targets_revision',
@@ -39,3 +39,39 @@
     'Changes that operators submitted here, by result.',
     ('result',),
 )
+CALLS: Final = Counter(
+    'bergamotshunt_calls_total',
+    "Callers' requests by service, target, verdict and outcome; internal "
+    'checks are left out.',
+    ('service', 'target', 'verdict', 'outcome'),
+)
+CALL_SECONDS: Final = Histogram(
+    'bergamotshunt_call_seconds',
+    'Time from the head of a request to the end of its answer.',
+    ('service', 'target'),
+    buckets=(
+        0.001,
+        0.0025,
+        0.005,
+        0.01,
+        0.025,
+        0.05,
+        0.1,
+        0.25,
+        0.5,
+        1,
+        2.5,
+        5,
+        10,
+    ),
+)
+EXTRA_ATTEMPTS: Final = Counter(
+    'bergamotshunt_extra_attempts_total',
+    'Retries, hedged requests, and retries that the budget refused.',
+    ('service', 'kind'),
+)
+EJECTED_SERVERS: Final = Gauge(
+    'bergamotshunt_ejected_servers',
+    'Servers of a service that this daemon has ejected.',
+    ('service',),
+)
--- a/bergamotshunt/plugins/entry.py
+++ b/bergamotshunt/plugins/entry.py
@@ -1,46 +1,50 @@
 """Entry: the callers port; chooses a backend server for each call."""
 
-from collections import Counter
+from asyncio import CancelledError, Event
 from http import HTTPStatus
-from itertools import count
 from typing import Any, Final
-from uuid import uuid4
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure
 
+from bergamotshunt.booking_calls import create_keyless
+from bergamotshunt.booking_owners import AskedOwners
+from bergamotshunt.call_bodies import (
+    DisconnectWatch,
+    read_call_body,
+)
+from bergamotshunt.call_counts import CallCounts
+from bergamotshunt.call_heads import (
+    measure_head,
+    read_head,
+    read_headers,
+    read_request_id,
+)
+from bergamotshunt.call_replies import send_answer
+from bergamotshunt.caller import Caller, CallerPlace
 from bergamotshunt.calls import CallHead
-from bergamotshunt.decisions.choosing import CHOOSERS
-from bergamotshunt.decisions.scoring import Candidate, ChoiceInput
-from bergamotshunt.decisions.matching import match_target
-from bergamotshunt.headers import DEADLINE_MS, INCARNATION, REQUEST_ID, TARGET
+from bergamotshunt.headers import CONTENT_LENGTH
 from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
-from bergamotshunt.members import Member, is_routable
 from bergamotshunt.messages import (
+    ConfirmationChanged,
+    DaemonReplaced,
     DescribeTask,
     MembersChanged,
     PortBound,
     TargetsChanged,
 )
 from bergamotshunt.targets import TargetSet
-from bergamotshunt.transport import (
-    HttpAnswer,
-    HttpRequest,
-    Sender,
-    check_request_id,
-    end_to_end,
-)
-from bergamotshunt.verdicts import CallFailure, create_refusal
-from bergamotshunt.web import (
-    BodyTooLargeError,
-    CallerGoneError,
-    HttpServer,
-    decode_headers,
-    read_body,
-    send_failure,
-    send_whole,
+from bergamotshunt.ticket_desk import TICKETS_PREFIX, serve_ticket
+from bergamotshunt.transport import Sender
+from bergamotshunt.verdicts import (
+    CallFailure,
+    CutShortError,
+    Verdict,
+    create_refusal,
 )
+from bergamotshunt.web import CallerGoneError, HttpServer, send_failure
 
 HANDLERS: Final = HandlerTable()
+CALLER_GONE: Final = (Verdict.MAY_HAVE_RUN.value, 'caller-gone')
 
 
 class EntryTask(Task):
@@ -52,12 +56,14 @@
     def __init__(self, context: Context) -> None:
         """Create the task; ``open`` binds the port."""
         super().__init__(context)
-        self.draining = False
         self.target_set = TargetSet(0, {})
-        self.members_by_id: dict[str, Member] = {}
-        self.own_in_flight_by_id = Counter[str]()
-        self.choose = CHOOSERS.get(context.settings.calls.chooser)
-        self.sequence = count()
+        # Reasons to refuse all new calls, by cause.
+        self.refusals: dict[str, str] = {
+            'no-targets': 'this daemon has not learned the targets yet'
+        }
+        self.in_flight = 0
+        self.idle = Event()
+        self.counts = CallCounts()
         self.http = HttpServer(
             self.serve,
             context.settings.daemon.ip,
@@ -67,12 +73,25 @@
     async def open(self) -> None:
         """Listen on the callers port."""
         self.sender = Sender(self.settings.calls.max_in_flight)
+        self.caller = Caller(
+            CallerPlace(
+                self.settings.calls,
+                self.settings.daemon.availability_zone,
+                self.context.rng,
+                self.now_ms,
+            ),
+            self.sender,
+            AskedOwners(self.post),
+        )
         await self.http.open()
         self.post.publish(PortBound('callers', self.http.port))
 
     async def drain(self) -> None:
-        """Refuse new calls from now on."""
-        self.draining = True
+        """Refuse new calls and wait for those in flight."""
+        self.refusals['draining'] = 'this daemon is leaving'
+        while self.in_flight:
+            self.idle.clear()
+            await self.idle.wait()
 
     async def close(self) -> None:
         """Close the port and the connections to peers."""
@@ -82,148 +101,167 @@
 
     async def serve(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request of a caller (ASGI)."""
-        headers = decode_headers(scope)
-        request_id = headers.get(REQUEST_ID) or uuid4().hex
-        try:
-            body = await read_body(
-                receive,
-                self.settings.calls.max_body_bytes,
-            )
-        except CallerGoneError:
+        request_id = ''
+        headers = read_headers(scope)
+        if isinstance(headers, Failure):
+            await send_failure(send, headers.failure(), request_id)
             return
-        except BodyTooLargeError as error:
-            refusal = create_refusal(
-                'body-too-large',
-                str(error),
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-            )
+        given = read_request_id(headers.unwrap().read, self.context.rng)
+        refusal = self.find_refusal(scope)
+        if refusal is None and isinstance(given, Failure):
+            refusal = given.failure()
+        request_id = given.value_or('')
+        if refusal is not None:
             await send_failure(send, refusal, request_id)
             return
-        match await self.route(scope, headers, request_id, body):
-            case Success(answer):
-                await send_whole(
-                    send,
-                    answer.status,
-                    end_to_end(answer.headers),
-                    answer.body,
-                )
-            case Failure(failure):
-                await send_failure(send, failure, request_id)
-
-    async def route(
-        self,
-        scope: Any,
-        headers: dict[str, str],
-        request_id: str,
-        body: bytes,
-    ) -> Result[HttpAnswer, CallFailure]:
-        """Class a request and send it to a chosen backend server."""
-        match self.read_head(scope, headers, request_id):
-            case Failure(failure):
-                return Failure(failure)
-            case Success(head):
-                return await self.send_to_chosen(head, body)
-        raise AssertionError('unreachable')
-
-    def read_head(
-        self,
-        scope: Any,
-        headers: dict[str, str],
-        request_id: str,
-    ) -> Result[CallHead, CallFailure]:
-        """Class a request by the operators' targets."""
-        if self.draining:
-            return Failure(create_refusal('draining', 'this daemon is leaving'))
-        raw_path = scope['raw_path'].decode('latin-1')
-        service, _, path = raw_path.lstrip('/').partition('/')
-        if service not in self.target_set.by_service:
-            return Failure(
-                create_refusal(
-                    'unknown-service',
-                    f'no targets are set for the service {service!r}',
-                    HTTPStatus.NOT_FOUND,
-                ),
+        if scope['raw_path'].startswith(TICKETS_PREFIX):
+            await serve_ticket(
+                scope, send, self.caller, self.target_set, request_id
             )
-        target = match_target(
-            self.target_set.by_service[service],
-            scope['method'],
-            f'/{path}',
+            return
+        head = read_head(
+            scope,
+            headers.unwrap(),
+            request_id,
+            self.target_set.by_service,
+            self.settings.calls,
+            self.now_ms(),
         )
-        if target is None:
-            return Failure(
-                create_refusal(
-                    'no-target',
-                    f'no target of {service} covers {scope["method"]} /{path}',
-                    HTTPStatus.NOT_FOUND,
-                ),
+        if isinstance(head, Failure):
+            await send_failure(send, head.failure(), request_id)
+            return
+        self.in_flight += 1
+        try:
+            await self.carry(
+                head.unwrap(),
+                headers.unwrap().read.get(CONTENT_LENGTH.encode()),
+                receive,
+                send,
             )
-        query = scope['query_string'].decode('latin-1')
-        timeout_ms = self.settings.calls.default_deadline_ms
-        return Success(
-            CallHead(
-                service,
-                scope['method'],
-                f'/{path}?{query}' if query else f'/{path}',
-                end_to_end(headers),
-                request_id,
-                self.now_ms() + timeout_ms,
-                target,
-            ),
-        )
+        finally:
+            self.in_flight -= 1
+            if not self.in_flight:
+                self.idle.set()
 
-    async def send_to_chosen(
+    def find_refusal(self, scope: Any) -> CallFailure | None:
+        """Refuse a call before anything is known of it."""
+        if self.refusals:
+            reason, detail = next(iter(self.refusals.items()))
+            return create_refusal(reason, detail)
+        calls = self.settings.calls
+        if self.in_flight >= calls.max_in_flight:
+            return create_refusal(
+                'entry-busy',
+                f'this daemon carries {calls.max_in_flight} calls already',
+            )
+        if measure_head(scope) > calls.max_head_bytes:
+            return create_refusal(
+                'head-too-large',
+                f'the head is larger than {calls.max_head_bytes} bytes',
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            )
+        return None
+
+    async def carry(
         self,
         head: CallHead,
-        body: bytes,
-    ) -> Result[HttpAnswer, CallFailure]:
-        """Choose a backend server and send the call to its daemon."""
-        candidates = [
-            Candidate(member, self.own_in_flight_by_id[member.daemon_id])
-            for member in self.members_by_id.values()
-            if member.service == head.service and is_routable(member)
-        ]
-        if not candidates:
-            return Failure(
-                create_refusal(
-                    'no-server', f'no backend server of {head.service}'
-                ),
-            )
-        now_ms = self.now_ms()
-        choice = ChoiceInput(now_ms, self.context.rng, next(self.sequence))
-        member = self.choose(candidates, choice).member
-        request = HttpRequest(
-            head.method,
-            f'http://{member.ip}:{member.peers_port}{head.path}',
-            {
-                **dict(head.headers),
-                REQUEST_ID: head.request_id,
-                DEADLINE_MS: str(int(head.deadline_ms - now_ms)),
-                TARGET: head.target.name,
-                INCARNATION: str(member.process_id),
-            },
-            body,
-            head.deadline_ms - now_ms,
-        )
-        self.own_in_flight_by_id[member.daemon_id] += 1
+        stated_length: bytes | None,
+        receive: Any,
+        send: Any,
+    ) -> None:
+        """Carry one call; a caller that leaves ends the work for it."""
+        begun_ms = self.now_ms()
+        watch = DisconnectWatch(receive)
+        ending = (Verdict.MAY_HAVE_RUN.value, 'internal-error')
         try:
-            outcome = await self.sender.send(request)
+            ending = await self.call(head, stated_length, watch, send)
+        except CallerGoneError:
+            ending = CALLER_GONE
+        except CancelledError:
+            ending = CALLER_GONE
+            if not watch.forgive():
+                raise
+        except CutShortError:
+            ending = (Verdict.RAN.value, 'cut-short')
+            raise
         finally:
-            self.own_in_flight_by_id[member.daemon_id] -= 1
-        return outcome.bind(
-            lambda answer: check_request_id(answer, head.request_id),
+            watch.stop()
+            self.counts.note(head, *ending, self.now_ms() - begun_ms)
+
+    async def call(
+        self,
+        head: CallHead,
+        stated_length: bytes | None,
+        watch: DisconnectWatch,
+        send: Any,
+    ) -> tuple[str, str]:
+        """Read the body, make the call and answer it.
+
+        Returns:
+            Verdict and outcome for the counts.
+        """
+        if not head.target.idempotent and not head.booking_key:
+            return await refuse(send, create_keyless(head), head)
+        received = await read_call_body(
+            watch.receive, stated_length, self.settings.calls, watch
         )
+        if isinstance(received, Failure):
+            return await refuse(send, received.failure(), head)
+        body, streamed = received.unwrap()
+        if streamed is not None and stated_length is not None:
+            length = (CONTENT_LENGTH, stated_length.decode())
+            head = head._replace(headers=(*head.headers, length))
+        outcome = await self.caller.call(head, body)
+        if isinstance(outcome, Failure):
+            failure = outcome.failure()
+            if streamed is not None:
+                failure = streamed.explain(failure)
+            return await refuse(send, failure, head)
+        await send_answer(send, outcome.unwrap(), head.method)
+        return Verdict.RAN.value, 'answered'
+
+
+async def refuse(
+    send: Any, failure: CallFailure, head: CallHead
+) -> tuple[str, str]:
+    """Tell a caller that the call failed; see ``EntryTask.call``."""
+    await send_failure(send, failure, head.request_id)
+    return failure.verdict.value, failure.reason
+
+
+def replace_refusal(task: EntryTask, reason: str, detail: str) -> None:
+    """Begin to refuse all new calls for a reason, or end it."""
+    task.refusals.pop(reason, None)
+    if detail:
+        task.refusals[reason] = detail
 
 
 @HANDLERS.on(MembersChanged)
 def update_members(task: EntryTask, message: MembersChanged) -> None:
     """Take over the known members."""
-    task.members_by_id = message.members_by_id
+    task.caller.update_members(message.members_by_id, message.changed_ids)
 
 
 @HANDLERS.on(TargetsChanged)
 def update_targets(task: EntryTask, message: TargetsChanged) -> None:
     """Take over newer targets."""
     task.target_set = message.target_set
+    task.caller.update_targets(message.target_set)
+    replace_refusal(task, 'no-targets', '')
+
+
+@HANDLERS.on(ConfirmationChanged)
+def update_confirmation(task: EntryTask, message: ConfirmationChanged) -> None:
+    """Refuse new calls while the targets are not confirmed."""
+    detail = message.detail or 'the targets are not confirmed'
+    replace_refusal(task, 'unconfirmed', '' if message.confirmed else detail)
+
+
+@HANDLERS.on(DaemonReplaced)
+def update_replaced(task: EntryTask, message: DaemonReplaced) -> None:
+    """Refuse new calls while another process holds this daemon's id."""
+    detail = message.detail or 'another process holds the id of this daemon'
+    replace_refusal(task, 'replaced', detail if message.replaced else '')
 
 
 @HANDLERS.on(DescribeTask)
@@ -231,8 +269,9 @@
     """Describe the entry for the daemon's status."""
     return {
         'entry': {
-            'draining': task.draining,
-            'in_flight_by_server': dict(+task.own_in_flight_by_id),
+            'refuses': dict(task.refusals),
+            'in_flight': task.in_flight,
+            'services': task.caller.describe(),
         },
     }
 
--- a/bergamotshunt/setting_descriptions.py
+++ b/bergamotshunt/setting_descriptions.py
@@ -30,6 +30,7 @@
     'calls.max_body_bytes': 'Largest request body.',
     'calls.max_head_bytes': 'Largest sum of request headers.',
     'calls.default_deadline_ms': 'Deadline of a call that states none.',
+    'calls.max_deadline_ms': 'Longest deadline that a caller may ask for.',
     'calls.chooser': 'How a backend server is chosen.',
     'calls.limiter': 'How the concurrency limit is learned.',
     'calls.retry_share': 'Extra load that retries may add to a service.',
--- a/bergamotshunt/setting_rules.py
+++ b/bergamotshunt/setting_rules.py
@@ -138,6 +138,7 @@
     'calls.max_body_bytes': between(1024, 2**40),
     'calls.max_head_bytes': between(1024, 1_048_576),
     'calls.default_deadline_ms': between(1, 3_600_000),
+    'calls.max_deadline_ms': between(1, 3_600_000),
     'calls.retry_share': _SHARE,
     'calls.hedge_share': _SHARE,
     'calls.max_ejected_share': between(0, 0.5),
--- a/bergamotshunt/settings.py
+++ b/bergamotshunt/settings.py
@@ -59,11 +59,12 @@
     max_body_bytes: int = 67_108_864
     max_head_bytes: int = 16_384
     default_deadline_ms: int = 5000
+    max_deadline_ms: int = 60_000
     chooser: str = 'two-choices'
     limiter: str = 'gradient'
     retry_share: float = 0.1
     hedge_share: float = 0.02
-    max_ejected_share: float = 0.33
+    max_ejected_share: float = 1 / 3
 
 
 class BookingsSettings(NamedTuple):
--- a/bergamotshunt/tests/test_call_decisions.py
+++ b/bergamotshunt/tests/test_call_decisions.py
@@ -69,25 +69,27 @@
 
 @DETERMINISTIC
 @given(
-    st.lists(st.floats(0, 5000), min_size=1, max_size=200),
+    st.lists(
+        st.tuples(st.floats(0, 5000), st.booleans()), min_size=1, max_size=200
+    ),
     st.floats(0, 1),
     st.floats(0, 1),
 )
 def test_budget_never_pays_for_more_than_its_share(
-    gaps_ms: list[float], share: float, floor_per_s: float
+    steps: list[tuple[float, bool]], share: float, floor_per_s: float
 ) -> None:
     """Guards against retries that multiply the load during a surge."""
     rule = BudgetRule(share, floor_per_s, capacity=10)
     budget = Budget(2, 0)
     spent, now_ms = 0, 0.0
-    for gap_ms in gaps_ms:
+    for gap_ms, is_failing in steps:
         now_ms += gap_ms
         budget = earn(budget, rule, now_ms)
         assert budget.tokens <= rule.capacity
-        while can_spend(budget):
+        while is_failing and can_spend(budget):
             budget = spend(budget)
             spent += 1
-    granted = 2 + share * len(gaps_ms) + floor_per_s * now_ms / 1000
+    granted = 2 + share * len(steps) + floor_per_s * now_ms / 1000
     assert spent <= granted + 1e-6
 
 
@@ -117,6 +119,7 @@
 
 def test_third_of_three_servers_is_one() -> None:
     """Guards against a rounding that never ejects in small services."""
+    assert most_ejected(100, 0.29) == 29
     assert [most_ejected(n, 1 / 3) for n in range(1, 10)] == [
         0,
         0,
@@ -293,7 +296,7 @@
 
 
 @DETERMINISTIC
-@given(st.text(max_size=15))
+@given(st.text(max_size=15) | st.integers(0, 10**13).map(str))
 def test_deadline_is_bounded(text: str) -> None:
     """Guards against a deadline that is malformed or without end."""
     parsed = parse_deadline_ms(text, 5000, 60_000)
--- a/bergamotshunt/tests/test_views.py
+++ b/bergamotshunt/tests/test_views.py
@@ -16,7 +16,7 @@
 def run(
     view: ServiceView, now_ms: float, failing: str = '', tried: tuple = ()
 ) -> str:
-    choice = view.choose(now_ms, tried, trial_allowed=True)
+    choice = view.choose(now_ms, tried, 0)
     assert choice is not None
     name = choice.candidate.member.daemon_id
     view.begin(name, now_ms)
@@ -78,7 +78,7 @@
     view = view_of('a')
     for step in range(3):
         view.begin('a', step)
-    view.cancel('a', is_trial=False)
+    view.cancel('a', 0, 3)
     view.finish('a', AttemptEnd('t', 1), 5)
     assert view.candidate_by_id['a'].own_in_flight == 1
     assert view.near[0] is view.candidate_by_id['a']
--- a/bergamotshunt/transport.py
+++ b/bergamotshunt/transport.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterable, AsyncIterator, Iterable, Mapping
 from http import HTTPStatus
 from types import TracebackType
-from typing import Any, Final, NamedTuple, Self
+from typing import Any, Final, NamedTuple, Self, cast
 
 from aiohttp import (
     ClientConnectorError,
@@ -15,6 +15,7 @@
     DummyCookieJar,
     TCPConnector,
 )
+from aiohttp.connector import Connection
 from returns.result import Failure, Result, Success
 from yarl import URL
 
@@ -74,6 +75,23 @@
     raw_headers: RawHeaders = ()
 
 
+class _Response(ClientResponse):
+    """Response that can close its connection after it was released.
+
+    The library gives a connection back as soon as the answer has ended,
+    which is before its headers were looked at.
+    """
+
+    async def start(self, connection: Connection) -> ClientResponse:
+        self.used_protocol = connection.protocol
+        return await super().start(connection)
+
+    def drop(self) -> None:
+        self.close()
+        if self.used_protocol is not None:
+            self.used_protocol.close()
+
+
 class Exchange:
     """Answer whose head has arrived; the connection is still in use.
 
@@ -81,11 +99,12 @@
     was not read to its end is closed, not used again.
     """
 
-    def __init__(self, response: ClientResponse, timeout_ms: float) -> None:
+    def __init__(self, response: _Response, timeout_ms: float) -> None:
         """Wrap a response of the library."""
         self._response = response
         self._timeout_ms = timeout_ms
         self.status = response.status
+        self.method = response.method
         self.raw_headers: RawHeaders = response.raw_headers
 
     async def __aenter__(self) -> Self:
@@ -153,6 +172,14 @@
         async for chunk in self._response.content.iter_any():
             yield chunk
 
+    def drop(self) -> None:
+        """Close the connection because the answer is not to this request.
+
+        Call it before anything is awaited: afterwards another request may
+        use the connection.
+        """
+        self._response.drop()
+
     def abort(self) -> None:
         """Close the connection unless the answer was read to its end."""
         if self._response.connection is not None:
@@ -179,6 +206,7 @@
                 use_dns_cache=False,
             ),
             cookie_jar=DummyCookieJar(),
+            response_class=_Response,
             auto_decompress=False,
             raise_for_status=False,
             read_bufsize=READ_BUFFER_BYTES,
@@ -211,7 +239,7 @@
             )
         except SENDING_ERRORS as error:
             return Failure(explain_error(error, timeout_ms))
-        return Success(Exchange(response, timeout_ms))
+        return Success(Exchange(cast(_Response, response), timeout_ms))
 
     async def send(
         self, request: HttpRequest
--- a/bergamotshunt/verdicts.py
+++ b/bergamotshunt/verdicts.py
@@ -13,6 +13,10 @@
     RAN = 'ran'
 
 
+class CutShortError(ConnectionError):
+    """A streamed answer ended before it was whole."""
+
+
 class CallFailure(NamedTuple):
     """A call that ended without the answer of a backend server.
 
--- a/bergamotshunt/views.py
+++ b/bergamotshunt/views.py
@@ -16,6 +16,7 @@
 from bergamotshunt.ejected import EjectedServers
 from bergamotshunt.extra_load import ExtraLoad
 from bergamotshunt.members import Member
+from bergamotshunt.metrics import EJECTED_SERVERS
 
 SERVER_GAIN: Final = 0.2
 USUAL_GAIN: Final = 0.05
@@ -34,6 +35,7 @@
     Attributes:
         chooser: Name of the chooser.
         availability_zone: Zone of the owner.
+        service: Name of the service, for metrics.
         retry_share: Extra load by retries and hedged requests.
         hedge_share: Part of it for hedged requests.
         max_ejected_share: Largest share of servers that is ejected.
@@ -41,6 +43,7 @@
 
     chooser: str
     availability_zone: str
+    service: str = ''
     retry_share: float = 0.1
     hedge_share: float = 0.02
     max_ejected_share: float = 1 / 3
@@ -116,7 +119,7 @@
         self,
         now_ms: float,
         tried: Collection[str] = (),
-        trial_allowed: bool = False,
+        trial_after_ms: float = inf,
     ) -> Choice | None:
         """Choose a server for an attempt; None when there is none.
 
@@ -124,9 +127,10 @@
             now_ms: The time.
             tried: Servers that the call already tried; one of them is
                 chosen only when no other is left.
-            trial_allowed: Whether an ejected server may be tried.
+            trial_after_ms: Time after the end of an ejection from which
+                this call may be the trial request.
         """
-        if trial_allowed and now_ms >= self.ejected.next_trial_ms:
+        if now_ms >= self.ejected.next_trial_ms + trial_after_ms:
             trial_id = self.ejected.take_trial(now_ms, tried)
             if trial_id:
                 return Choice(self.candidate_by_id[trial_id], is_trial=True)
@@ -157,14 +161,43 @@
             )
         )
 
-    def cancel(self, daemon_id: str, is_trial: bool) -> None:
-        """Note that an attempt was cancelled; it tells nothing."""
-        candidate = self.candidate_by_id.get(daemon_id)
-        if candidate is not None:
-            own_in_flight = max(candidate.own_in_flight - 1, 0)
-            self._put(candidate._replace(own_in_flight=own_in_flight))
+    def has_other_than(self, tried: Collection[str]) -> bool:
+        """Tell whether there is a server that the call has not tried."""
+        return any(server not in tried for server in self.candidate_by_id)
+
+    def cancel(
+        self,
+        daemon_id: str,
+        begun_ms: float,
+        now_ms: float,
+        target: str = '',
+        is_trial: bool = False,
+    ) -> None:
+        """Note that an attempt was given up.
+
+        The wait tells only that the server is at least so slow, so a
+        short one tells nothing.
+        """
         if is_trial:
             self.ejected.drop_trial(daemon_id)
+        candidate = self.candidate_by_id.get(daemon_id)
+        if candidate is None:
+            return
+        own_in_flight = max(candidate.own_in_flight - 1, 0)
+        candidate = candidate._replace(own_in_flight=own_in_flight)
+        waited_ms = now_ms - begun_ms
+        if waited_ms > self.usual_ms_by_target.get(target, inf):
+            candidate = candidate._replace(
+                latency_ms=max(candidate.latency_ms, waited_ms),
+                latency_at_ms=now_ms,
+            )
+            if self.ejected.note(daemon_id, waited_ms, False, now_ms):
+                self._place_all()
+        self._put(candidate)
+
+    def drop_trial(self, daemon_id: str) -> None:
+        """Note that a chosen trial request was not sent."""
+        self.ejected.drop_trial(daemon_id)
 
     def finish(
         self,
@@ -197,6 +230,13 @@
         self._put(candidate)
         self._judge(daemon_id, end, now_ms, is_trial)
 
+    def keep_targets(self, targets: frozenset[str]) -> None:
+        """Forget what is known of targets that no longer exist."""
+        self.extra_load.keep_targets(targets)
+        for target in tuple(self.usual_ms_by_target):
+            if target not in targets:
+                self.usual_ms_by_target.pop(target)
+
     def describe(self) -> dict[str, object]:
         """Describe the view for the daemon's status."""
         return {
@@ -224,6 +264,9 @@
         )
 
     def _place_all(self) -> None:
+        EJECTED_SERVERS.labels(self.rules.service).set(
+            len(self.ejected.ejection_by_id)
+        )
         self.near = []
         self.far = []
         self.place_by_id = {}
@@ -247,11 +290,11 @@
 
     def _weigh(self, end: AttemptEnd, before_ms: float) -> float:
         """Return the smoothed latency after an attempt; 0 for no change."""
-        if end.failed or (end.refused and end.report is None):
+        if end.refused and is_full(end.report):
+            return 0
+        if end.failed or end.refused:
             penalty_ms = self.typical.latency_ms * PENALTY_FACTOR
             return max(before_ms, end.latency_ms, penalty_ms, MIN_PENALTY_MS)
-        if end.refused:
-            return 0
         self.extra_load.note_latency(end.target, end.latency_ms)
         usual_ms = self.usual_ms_by_target.get(end.target, end.latency_ms)
         usual_ms += (end.latency_ms - usual_ms) * USUAL_GAIN
@@ -296,6 +339,13 @@
             self._place_all()
 
 
+def is_full(report: LoadReport | None) -> bool:
+    """Tell whether the load alone explains why a server refuses."""
+    if report is None:
+        return False
+    return report.in_flight + report.queued >= report.limit
+
+
 def without(
     candidates: Iterable[Candidate], tried: Collection[str]
 ) -> list[Candidate]:
--- a/bergamotshunt/web.py
+++ b/bergamotshunt/web.py
@@ -2,8 +2,8 @@
 
 from asyncio import Event, create_task, wait
 from asyncio import Task as AsyncioTask
-from collections.abc import Iterator, Mapping
-from contextlib import contextmanager
+from collections.abc import AsyncIterable, Iterator, Mapping
+from contextlib import contextmanager, suppress
 from http import HTTPStatus
 from socket import (
     AF_INET,
@@ -20,7 +20,13 @@
 
 from bergamotshunt.calls import HeaderItems
 from bergamotshunt.headers import REQUEST_ID, RETRY_AFTER, SUCCESSOR, VERDICT
-from bergamotshunt.verdicts import CallFailure, create_problem
+from bergamotshunt.log import log_error, log_event
+from bergamotshunt.verdicts import (
+    CallFailure,
+    CutShortError,
+    create_problem,
+    create_unknown_outcome,
+)
 
 BACKLOG: Final = 2048
 CLOSE_TIMEOUT_S: Final = 5
@@ -57,6 +63,31 @@
         await self.stopping.wait()
 
 
+class _Boundary:
+    """Ends a request whose application failed; never shows a traceback."""
+
+    def __init__(self, app: Any) -> None:
+        self.app = app
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        try:
+            await self.app(scope, receive, send)
+        except CutShortError as cut:
+            # The answer stays incomplete, so uvicorn closes the connection
+            # and no client takes it for a whole one.
+            log_event('http:answer-cut-short', detail=str(cut))
+        except Exception as error:
+            log_error('http:request-failed', error, path=scope['path'])
+            failure = create_unknown_outcome(
+                'internal-error',
+                'the daemon failed on this request; see its log',
+                HTTPStatus.INTERNAL_SERVER_ERROR,
+            )
+            # Raises in turn when the answer has begun already.
+            with suppress(RuntimeError):
+                await send_failure(send, failure, '')
+
+
 class HttpServer:
     """One listening port of a task.
 
@@ -74,7 +105,7 @@
         self._socket.bind((ip, port))
         self.port: int = self._socket.getsockname()[1]
         config = Config(
-            app,
+            _Boundary(app),
             loop='none',
             interface='asgi3',
             http='httptools',
@@ -85,6 +116,8 @@
             proxy_headers=False,
             server_header=False,
             date_header=False,
+            # Errors of the application are logged by ``_Boundary``.
+            log_level='critical',
             backlog=BACKLOG,
             timeout_keep_alive=KEEP_ALIVE_S,
             timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
@@ -181,6 +214,23 @@
     await send({'type': 'http.response.body', 'body': body})
 
 
+async def send_streamed(
+    send: Any,
+    status: int,
+    headers: list[tuple[bytes, bytes]],
+    chunks: AsyncIterable[bytes],
+) -> None:
+    """Send an answer of which only a chunk at a time is held."""
+    await send(
+        {'type': 'http.response.start', 'status': status, 'headers': headers}
+    )
+    async for chunk in chunks:
+        await send(
+            {'type': 'http.response.body', 'body': chunk, 'more_body': True}
+        )
+    await send({'type': 'http.response.body', 'body': b''})
+
+
 async def send_failure(
     send: Any,
     failure: CallFailure,
