--- /dev/null
+++ b/bergamotshunt/decisions/confirmation.py
@@ -0,0 +1,106 @@
+"""Whether a daemon may serve with the targets that it holds."""
+
+from math import ceil, log2
+from typing import NamedTuple
+
+from bergamotshunt.messages import ConfirmationChanged
+
+MS_PER_S = 1000
+
+
+class Contacts(NamedTuple):
+    """When this daemon last had contact; times are monotonic, in ms.
+
+    Attributes:
+        loaded: Whether the targets were learned since the start.
+        platform_ms: Last valid answer of the platform, or None.
+        peer_ms: Last contact with any other member, or None.
+        confirmed_ms: When the revision in force was last known to be the
+            newest, here or at the peer that told it; None for never.
+        others: Number of other members known that have not left.
+    """
+
+    loaded: bool = False
+    platform_ms: float | None = None
+    peer_ms: float | None = None
+    confirmed_ms: float | None = None
+    others: int = 0
+
+
+class ConfirmationRules(NamedTuple):
+    """Settings of the decision.
+
+    Attributes:
+        within_ms: How long a daemon serves without any contact.
+        refuse_unconfirmed: Whether it also refuses when the platform is
+            out of reach for all members that it reaches.
+        spread_ms: Time of one round of gossip.
+    """
+
+    within_ms: float
+    refuse_unconfirmed: bool
+    spread_ms: float
+
+
+def decide_confirmation(
+    contacts: Contacts,
+    rules: ConfirmationRules,
+    now_ms: float,
+) -> ConfirmationChanged:
+    """Decide whether new work is accepted."""
+    if not contacts.loaded:
+        return ConfirmationChanged(
+            confirmed=False,
+            detail='no targets learned yet from the platform or a peer',
+        )
+    silence_ms = now_ms - last_contact_ms(contacts)
+    if contacts.others and silence_ms > rules.within_ms:
+        return ConfirmationChanged(
+            confirmed=False,
+            detail='neither the platform nor any other member was reached '
+            f'for {silence_ms / MS_PER_S:.1f} s',
+        )
+    age_ms = confirmation_age_ms(contacts, now_ms)
+    allowed_ms = rules.within_ms + spread_allowance_ms(contacts, rules)
+    if rules.refuse_unconfirmed and age_ms > allowed_ms:
+        return ConfirmationChanged(
+            confirmed=False,
+            detail='the platform has not confirmed the targets '
+            f'for {age_ms / MS_PER_S:.1f} s',
+        )
+    return ConfirmationChanged(confirmed=True, detail='')
+
+
+def last_contact_ms(contacts: Contacts) -> float:
+    """Return the time of the last contact of any kind."""
+    return max(contacts.platform_ms or 0, contacts.peer_ms or 0)
+
+
+def confirmation_age_ms(contacts: Contacts, now_ms: float) -> float:
+    """Return the time since the revision in force was confirmed."""
+    return now_ms - (contacts.confirmed_ms or 0)
+
+
+def spread_allowance_ms(contacts: Contacts, rules: ConfirmationRules) -> float:
+    """Return the time that a confirmation takes to reach all members.
+
+    A rumour reaches n members in about log2(n) rounds of gossip.
+    """
+    return rules.spread_ms * ceil(log2(contacts.others + 1))
+
+
+def needs_platform(
+    contacts: Contacts,
+    rules: ConfirmationRules,
+    is_reader: bool,
+    now_ms: float,
+) -> bool:
+    """Tell whether to read the head from the platform now.
+
+    Readers read it three times within the confirmation time. The others
+    read it only when no member was reached for half of that time, so that
+    the platform's load does not grow with the fleet.
+    """
+    if is_reader or not contacts.others:
+        return now_ms - (contacts.platform_ms or 0) >= rules.within_ms / 3
+    return now_ms - last_contact_ms(contacts) >= rules.within_ms / 2
--- /dev/null
+++ b/bergamotshunt/decisions/readers.py
@@ -0,0 +1,72 @@
+"""Which members read the targets from the platform."""
+
+from collections.abc import Iterable
+from random import Random
+from typing import Final
+
+from xxhash import xxh64_intdigest
+
+from bergamotshunt.members import Member, MemberStatus
+
+PRESENT: Final = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
+
+
+def choose_readers(
+    members: Iterable[Member],
+    region: str,
+    availability_zone: str,
+    readers: int,
+) -> tuple[str, ...]:
+    """Choose the readers of one availability zone by rendezvous hash.
+
+    All members that know the same members choose the same readers.
+
+    Returns:
+        Daemon ids of the members with the highest hash.
+    """
+    candidates = [
+        member.daemon_id
+        for member in members
+        if member.status in PRESENT
+        and member.region == region
+        and member.availability_zone == availability_zone
+    ]
+    ranked = sorted(candidates, key=rank_reader, reverse=True)
+    return tuple(ranked[:readers])
+
+
+def rank_reader(daemon_id: str) -> tuple[int, str]:
+    """Return the rank of a member; ties are broken by its id."""
+    return xxh64_intdigest(daemon_id.encode()), daemon_id
+
+
+def list_present(
+    members: Iterable[Member],
+    own_id: str,
+) -> tuple[Member, ...]:
+    """List the members that can be reached, without this one."""
+    return tuple(
+        member
+        for member in members
+        if member.daemon_id != own_id and member.status in PRESENT
+    )
+
+
+def count_others(members: Iterable[Member], own_id: str) -> int:
+    """Count the other members that have not left.
+
+    Dead members count: to a daemon that is cut off, all others look dead.
+    """
+    return sum(
+        member.daemon_id != own_id and member.status is not MemberStatus.LEFT
+        for member in members
+    )
+
+
+def choose_peers(
+    present: tuple[Member, ...],
+    wanted: int,
+    rng: Random,
+) -> list[Member]:
+    """Choose random members."""
+    return rng.sample(present, min(wanted, len(present)))
--- /dev/null
+++ b/bergamotshunt/decisions/revisions.py
@@ -0,0 +1,81 @@
+"""Which targets come into force: revisions only increase."""
+
+from typing import Final, NamedTuple
+
+from bergamotshunt.targets import Change, TargetSet
+
+# A peer that is further behind gets a snapshot instead of changes.
+RECENT_KEPT: Final = 256
+# Changes that arrive before their predecessors wait here.
+PENDING_KEPT: Final = 64
+
+
+class TargetLog(NamedTuple):
+    """Targets in force with the changes that led to them.
+
+    Attributes:
+        target_set: Targets in force.
+        recent: Newest changes without a gap, oldest first.
+        pending_by_revision: Changes whose predecessor is missing.
+    """
+
+    target_set: TargetSet = TargetSet(0, {})
+    recent: tuple[Change, ...] = ()
+    pending_by_revision: dict[int, Change] = {}
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force."""
+        return self.target_set.revision
+
+
+def hear_change(log: TargetLog, change: Change) -> TargetLog:
+    """Take a change that may be old, the next one, or too early."""
+    distance = change.revision - log.revision
+    if not 0 < distance <= PENDING_KEPT:
+        return log
+    pending = {**log.pending_by_revision, change.revision: change}
+    return apply_pending(log._replace(pending_by_revision=pending))
+
+
+def hear_snapshot(log: TargetLog, target_set: TargetSet) -> TargetLog:
+    """Take all targets of a revision, unless it is not newer."""
+    if target_set.revision <= log.revision:
+        return log
+    return apply_pending(log._replace(target_set=target_set, recent=()))
+
+
+def apply_pending(log: TargetLog) -> TargetLog:
+    """Apply the changes that follow the revision in force."""
+    pending = {
+        revision: change
+        for revision, change in log.pending_by_revision.items()
+        if revision > log.revision
+    }
+    target_set = log.target_set
+    recent = log.recent
+    while target_set.revision + 1 in pending:
+        change = pending.pop(target_set.revision + 1)
+        target_set = apply_change(target_set, change)
+        recent = (*recent, change)[-RECENT_KEPT:]
+    return TargetLog(target_set, recent, pending)
+
+
+def apply_change(target_set: TargetSet, change: Change) -> TargetSet:
+    """Return the targets after a change of the next revision."""
+    by_service = dict(target_set.by_service)
+    if change.after is None:
+        by_service.pop(change.service, None)
+    else:
+        by_service[change.service] = change.after
+    return TargetSet(change.revision, by_service)
+
+
+def changes_since(log: TargetLog, revision: int) -> tuple[Change, ...] | None:
+    """Return the changes after a revision, None when some are not held."""
+    missing = log.revision - revision
+    if missing <= 0:
+        return ()
+    if revision < 0 or missing > len(log.recent):
+        return None
+    return log.recent[-missing:]
--- /dev/null
+++ b/bergamotshunt/decisions/submissions.py
@@ -0,0 +1,123 @@
+"""What becomes of a submitted change of targets."""
+
+from typing import NamedTuple
+
+from bergamotshunt.messages import (
+    SubmitChange,
+)
+from bergamotshunt.targets import Change, ServiceTargets
+from bergamotshunt.targets_messages import (
+    SubmitFailure,
+    SubmitFailureKind,
+)
+
+
+class SubmissionView(NamedTuple):
+    """What the platform holds when a submission is decided.
+
+    Attributes:
+        head_revision: Newest revision; 0 for none.
+        service: Targets of the service, or None.
+        earlier: Change that the same submission made before, or None.
+        last_change: Newest change of the service whose record is kept.
+    """
+
+    head_revision: int
+    service: ServiceTargets | None
+    earlier: Change | None = None
+    last_change: Change | None = None
+
+
+class Repeated(NamedTuple):
+    """The submission was accepted before, as this change."""
+
+    change: Change
+
+
+class Proposed(NamedTuple):
+    """The submission is valid; this change is to be committed."""
+
+    change: Change
+
+
+SubmissionDecision = Proposed | Repeated | SubmitFailure
+
+
+def decide_submission(
+    message: SubmitChange,
+    view: SubmissionView,
+    accepted_at: float,
+) -> SubmissionDecision:
+    """Decide what to do with a submission.
+
+    Args:
+        message: The submission.
+        view: The platform's data, all from the same moment or older than
+            the head revision that the commit compares.
+        accepted_at: Wall clock, seconds since the epoch.
+    """
+    if view.earlier is not None:
+        return recognise(message, view.earlier)
+    revision = 0 if view.service is None else view.service.revision
+    if message.expected_revision != revision:
+        return describe_conflict(message, view)
+    if message.after is None and view.service is None:
+        return SubmitFailure(
+            SubmitFailureKind.ABSENT,
+            f'{message.service} has no targets that could be removed',
+        )
+    next_revision = view.head_revision + 1
+    after = message.after
+    if after is not None:
+        after = after._replace(revision=next_revision)
+    change = Change(
+        revision=next_revision,
+        service=message.service,
+        before=view.service,
+        after=after,
+        operator=message.operator,
+        reason=message.reason,
+        submission_id=message.submission_id,
+        accepted_at=accepted_at,
+    )
+    return Proposed(change)
+
+
+def recognise(message: SubmitChange, earlier: Change) -> SubmissionDecision:
+    """Tell a repeat from another change under the same submission id."""
+    if earlier.service == message.service and (
+        without_revision(earlier.after) == without_revision(message.after)
+    ):
+        return Repeated(earlier)
+    return SubmitFailure(
+        SubmitFailureKind.REUSED,
+        f'submission id {message.submission_id!r} was used for another '
+        f'change, revision {earlier.revision} of {earlier.service}; '
+        'submit this change under a new id',
+    )
+
+
+def without_revision(service: ServiceTargets | None) -> ServiceTargets | None:
+    """Return the targets as an operator stated them."""
+    return None if service is None else service._replace(revision=0)
+
+
+def describe_conflict(
+    message: SubmitChange,
+    view: SubmissionView,
+) -> SubmitFailure:
+    """Tell which change came first and who made it."""
+    winner = view.last_change
+    detail = f'{message.service} is not at revision {message.expected_revision}'
+    if winner is None:
+        now = 0 if view.service is None else view.service.revision
+        detail = f'{detail} but at {now}'
+    else:
+        verb = 'removed' if winner.after is None else 'changed'
+        detail = (
+            f'{detail}: {winner.operator} {verb} it in revision '
+            f'{winner.revision} ({winner.reason or "no reason given"})'
+        )
+    return SubmitFailure(
+        SubmitFailureKind.CONFLICT, detail, view.service, winner
+    )
--- a/bergamotshunt/messages.py
+++ b/bergamotshunt/messages.py
@@ -67,9 +67,15 @@
 
 
 class ChangeHeard(NamedTuple):
-    """A change of targets that a peer pushed."""
+    """A change of targets that a peer pushed.
+
+    Attributes:
+        change: The change.
+        daemon_id: The peer, which has all changes up to this one.
+    """
 
     change: Change
+    daemon_id: str = ''
 
 
 class RevisionHeard(NamedTuple):
@@ -218,6 +224,9 @@
 class SubmitChange(NamedTuple):
     """Question to the keeper: accept new targets for a service.
 
+    The reply is a ``Result[Change, SubmitFailure]``; a repeat of an
+    accepted submission gets the change that it made the first time.
+
     Attributes:
         service: Service that changes.
         after: Wanted targets, or None to remove them.
@@ -235,13 +244,6 @@
     submission_id: str
 
 
-class ListChanges(NamedTuple):
-    """Question to the keeper: changes after a revision, oldest first."""
-
-    after_revision: int
-    limit: int = 100
-
-
 class HealthObserved(NamedTuple):
     """The prober saw the health of the local backend server."""
 
--- a/bergamotshunt/metrics.py
+++ b/bergamotshunt/metrics.py
@@ -75,3 +75,10 @@
     'Servers of a service that this daemon has ejected.',
     ('service',),
 )
+
+
+def show_targets(revision: int, age_s: float, confirmed: bool) -> None:
+    """Set the gauges of the targets."""
+    TARGETS_REVISION.set(revision)
+    TARGETS_CONFIRMATION_AGE.set(age_s)
+    TARGETS_CONFIRMED.set(confirmed)
--- /dev/null
+++ b/bergamotshunt/platform_targets.py
@@ -0,0 +1,119 @@
+"""Targets in the platform: reading them through the store task."""
+
+from typing import NamedTuple
+
+from returns.result import Result, Success
+
+from bergamotshunt.kernel import Post
+from bergamotshunt.messages import StoreEntry, StoreFailure, StoreGet
+from bergamotshunt.targets import Change, ServiceTargets, TargetSet
+from bergamotshunt.targets_codec import (
+    CHANGES_PREFIX,
+    HEAD_KEY,
+    SERVICES_PREFIX,
+    TARGETS_PREFIX,
+    change_key,
+    decode_change,
+    decode_service,
+)
+
+Entries = Result[tuple[StoreEntry, ...], StoreFailure]
+
+
+class Head(NamedTuple):
+    """The newest change.
+
+    Attributes:
+        change: The change, or None when no target was ever stated.
+        mod_revision: The store's revision of its last write; 0 for none.
+    """
+
+    change: Change | None
+    mod_revision: int
+
+    @property
+    def revision(self) -> int:
+        """Return the newest revision of the targets."""
+        return 0 if self.change is None else self.change.revision
+
+
+def read_head(entries: tuple[StoreEntry, ...]) -> Head:
+    """Read the head from the entries of its key."""
+    for entry in entries:
+        if entry.key == HEAD_KEY:
+            return Head(decode_change(entry.content), entry.mod_revision)
+    return Head(None, 0)
+
+
+async def fetch_head(post: Post) -> Result[Head, StoreFailure]:
+    """Ask the platform for the newest change."""
+    outcome: Entries = await post.ask(StoreGet(HEAD_KEY))
+    return outcome.map(read_head)
+
+
+async def fetch_snapshot(post: Post) -> Result[TargetSet, StoreFailure]:
+    """Ask the platform for all targets, of one moment."""
+    outcome: Entries = await post.ask(StoreGet(TARGETS_PREFIX, prefix=True))
+    return outcome.map(read_snapshot)
+
+
+def read_snapshot(entries: tuple[StoreEntry, ...]) -> TargetSet:
+    """Read all targets from the entries below their prefix."""
+    services = [
+        decode_service(entry.content)
+        for entry in entries
+        if entry.key.startswith(SERVICES_PREFIX)
+    ]
+    return TargetSet(
+        read_head(entries).revision,
+        {service.service: service for service in services},
+    )
+
+
+async def fetch_changes(
+    post: Post,
+    after_revision: int,
+    limit: int,
+) -> Result[tuple[Change, ...], StoreFailure]:
+    """Ask the platform for changes after a revision, oldest first."""
+    after = change_key(after_revision) if after_revision > 0 else ''
+    outcome: Entries = await post.ask(
+        StoreGet(CHANGES_PREFIX, prefix=True, after=after, limit=limit),
+    )
+    return outcome.map(read_changes)
+
+
+def read_changes(entries: tuple[StoreEntry, ...]) -> tuple[Change, ...]:
+    """Read changes from their entries."""
+    return tuple(decode_change(entry.content) for entry in entries)
+
+
+async def fetch_service(
+    post: Post,
+    key: str,
+) -> Result[tuple[ServiceTargets | None, int], StoreFailure]:
+    """Ask the platform for one service's targets and their mod_revision."""
+    outcome: Entries = await post.ask(StoreGet(key))
+    return outcome.map(read_stored_service)
+
+
+def read_stored_service(
+    entries: tuple[StoreEntry, ...],
+) -> tuple[ServiceTargets | None, int]:
+    """Read one service from the entries of its key."""
+    if not entries:
+        return None, 0
+    entry = entries[0]
+    return decode_service(entry.content), entry.mod_revision
+
+
+def first_failure(
+    *outcomes: Result[object, StoreFailure],
+) -> StoreFailure | None:
+    """Return the first failure among answers of the store."""
+    failures = [
+        outcome.failure()
+        for outcome in outcomes
+        if not isinstance(outcome, Success)
+    ]
+    return failures[0] if failures else None
--- /dev/null
+++ b/bergamotshunt/plugins/changes.py
@@ -0,0 +1,119 @@
+"""Changes: accepts operators' changes and lists the audit trail."""
+
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
+from bergamotshunt.log import log_event
+from bergamotshunt.messages import (
+    ChangeHeard,
+    DescribeTask,
+    StoreFailure,
+    SubmitChange,
+)
+from bergamotshunt.metrics import SUBMISSIONS
+from bergamotshunt.platform_targets import fetch_changes, fetch_head
+from bergamotshunt.submitting import Submitter
+from bergamotshunt.targets import Change
+from bergamotshunt.targets_messages import (
+    ChangeList,
+    ListChanges,
+    PulledTargets,
+    PullTargets,
+    SubmitFailure,
+)
+
+HANDLERS: Final = HandlerTable()
+
+
+class ChangesTask(Task):
+    """Commits changes; the platform holds all state."""
+
+    name = 'changes'
+    handlers = HANDLERS
+
+    def __init__(self, context: Context) -> None:
+        """Create the task."""
+        super().__init__(context)
+        audit_records = context.settings.targets.audit_records
+        self.submitter = Submitter(context.post, audit_records, context.rng)
+        self.accepted = 0
+
+    async def list_stored(
+        self,
+        message: ListChanges,
+    ) -> Result[ChangeList, StoreFailure]:
+        """List changes from the platform."""
+        head = await fetch_head(self.post)
+        if not isinstance(head, Success):
+            return Failure(head.failure())
+        newest = head.unwrap().revision
+        after = message.after_revision
+        if after < 0:
+            after = max(0, newest - message.limit)
+        changes = await fetch_changes(self.post, after, message.limit)
+        return changes.map(
+            lambda listed: ChangeList(listed, newest, complete=True),
+        )
+
+    async def list_remembered(self, message: ListChanges) -> ChangeList:
+        """List the changes that the keeper remembers."""
+        everything: PulledTargets = await self.post.ask(PullTargets(2**62))
+        newest = everything.revision
+        after = message.after_revision
+        if after < 0:
+            after = max(0, newest - message.limit)
+        pulled: PulledTargets = await self.post.ask(PullTargets(after))
+        listed = pulled.changes[: message.limit]
+        return ChangeList(listed, newest, complete=False)
+
+
+@HANDLERS.on(SubmitChange)
+async def submit(
+    task: ChangesTask,
+    message: SubmitChange,
+) -> Result[Change, SubmitFailure]:
+    """Commit a change and tell the keeper."""
+    outcome = await task.submitter.submit(message)
+    match outcome:
+        case Success(change):
+            task.accepted += 1
+            SUBMISSIONS.labels('accepted').inc()
+            task.post.publish(ChangeHeard(change, task.settings.daemon.id))
+            log_event(
+                'targets:accepted',
+                revision=change.revision,
+                service=change.service,
+                operator=change.operator,
+            )
+        case Failure(failure):
+            SUBMISSIONS.labels(failure.kind.value).inc()
+            log_event(
+                'targets:not-accepted',
+                reason=failure.kind.value,
+                service=message.service,
+                operator=message.operator,
+            )
+    return outcome
+
+
+@HANDLERS.on(ListChanges)
+async def list_changes(task: ChangesTask, message: ListChanges) -> ChangeList:
+    """List changes, if need be from memory."""
+    match await task.list_stored(message):
+        case Success(listed):
+            return listed
+    return await task.list_remembered(message)
+
+
+@HANDLERS.on(DescribeTask)
+def describe(task: ChangesTask, _message: DescribeTask) -> dict[str, Any]:
+    """Describe the submissions for the daemon's status."""
+    return {'changes_accepted_here': task.accepted}
+
+
+@PLUGINS.register('changes')
+def create_changes(context: Context) -> ChangesTask:
+    """Create the task."""
+    return ChangesTask(context)
--- /dev/null
+++ b/bergamotshunt/plugins/reader.py
@@ -0,0 +1,141 @@
+"""Reader: watches the targets in the platform on behalf of its zone.
+
+Only the readers of each availability zone watch the platform, so that its
+load grows with the zones and not with the fleet.
+"""
+
+from asyncio import Event, sleep
+from typing import Any, Final
+
+from returns.result import Result, Success
+
+from bergamotshunt.decisions.readers import choose_readers
+from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
+from bergamotshunt.members import Member
+from bergamotshunt.messages import (
+    ChangeHeard,
+    DescribeTask,
+    MembersChanged,
+    StoreEntry,
+    StoreFailure,
+    StoreWatch,
+)
+from bergamotshunt.platform_targets import fetch_head
+from bergamotshunt.targets_codec import HEAD_KEY, decode_change
+from bergamotshunt.targets_messages import (
+    ReaderElected,
+)
+
+HANDLERS: Final = HandlerTable()
+# A watch that ends without an event costs the platform one call.
+WATCH_MS: Final = 60_000
+WATCH_ASK_S: Final = 75
+LONGEST_PAUSE_S: Final = 2
+# Bounds the share of a core that elections take: about 1 us a member.
+MEMBERS_PER_S: Final = 4000
+
+
+class ReaderTask(Task):
+    """Owns the watch of the head while this daemon is a reader."""
+
+    name = 'reader'
+    handlers = HANDLERS
+
+    def __init__(self, context: Context) -> None:
+        """Create the task; it is no reader before the first election."""
+        super().__init__(context)
+        self.members_by_id: dict[str, Member] = {}
+        self.members_changed = Event()
+        self.elected = Event()
+        self.head_mod_revision = 0
+
+    async def start(self) -> None:
+        """Start to hold elections and to watch."""
+        self.spawn(self.hold_elections())
+        self.spawn(self.follow_head())
+
+    async def hold_elections(self) -> None:
+        """Elect the readers of this zone whenever the members changed."""
+        while True:
+            await self.members_changed.wait()
+            self.members_changed.clear()
+            self.elect()
+            await sleep(len(self.members_by_id) / MEMBERS_PER_S)
+
+    def elect(self) -> None:
+        """Find out whether this daemon is a reader."""
+        daemon = self.settings.daemon
+        readers = choose_readers(
+            self.members_by_id.values(),
+            daemon.region,
+            daemon.availability_zone,
+            self.settings.targets.readers_per_zone,
+        )
+        is_reader = daemon.id in readers
+        if is_reader == self.elected.is_set():
+            return
+        if is_reader:
+            self.elected.set()
+        else:
+            self.elected.clear()
+        self.post.publish(ReaderElected(is_reader))
+
+    async def follow_head(self) -> None:
+        """Watch the head, from where it was last read."""
+        while True:
+            await self.elected.wait()
+            if not await self.read_or_watch():
+                await sleep(self.context.rng.uniform(0, LONGEST_PAUSE_S))
+
+    async def read_or_watch(self) -> bool:
+        """Wait for the next change; tell whether the platform answered."""
+        if not self.head_mod_revision:
+            return await self.read_first()
+        outcome: Result[StoreEntry | None, StoreFailure]
+        outcome = await self.post.ask(
+            StoreWatch(HEAD_KEY, self.head_mod_revision, WATCH_MS),
+            WATCH_ASK_S,
+        )
+        match outcome:
+            case Success(entry):
+                self.take(entry)
+                return True
+        return False
+
+    async def read_first(self) -> bool:
+        """Read the head once, to know where the watch starts."""
+        match await fetch_head(self.post):
+            case Success(head):
+                # The store's revisions start at 1: watch everything.
+                self.head_mod_revision = head.mod_revision or 1
+                if head.change is not None:
+                    self.post.publish(ChangeHeard(head.change))
+                return True
+        return False
+
+    def take(self, entry: StoreEntry | None) -> None:
+        """Tell the keeper a change; ignore what is older."""
+        if entry is None or entry.mod_revision <= self.head_mod_revision:
+            return
+        self.head_mod_revision = entry.mod_revision
+        if entry.content:
+            self.post.publish(ChangeHeard(decode_change(entry.content)))
+
+
+@HANDLERS.on(MembersChanged)
+def note_members(task: ReaderTask, message: MembersChanged) -> None:
+    """Hold an election soon."""
+    task.members_by_id = message.members_by_id
+    task.members_changed.set()
+
+
+@HANDLERS.on(DescribeTask)
+def describe(task: ReaderTask, _message: DescribeTask) -> dict[str, Any]:
+    """Describe the role for the daemon's status."""
+    return {'reads_platform': task.elected.is_set()}
+
+
+@PLUGINS.register('reader')
+def create_reader(context: Context) -> ReaderTask:
+    """Create the reader task."""
+    return ReaderTask(context)
--- a/bergamotshunt/plugins/store.py
+++ b/bergamotshunt/plugins/store.py
@@ -4,8 +4,7 @@
 bounds their rate and fails them at once while the platform is down.
 """
 
-from asyncio import Task as AsyncioTask
-from asyncio import shield, sleep, timeout
+from asyncio import sleep, timeout
 from typing import Any, Final
 
 from aiohttp import ClientError
@@ -35,6 +34,7 @@
     PlatformError,
     lose,
 )
+from bergamotshunt.shared_leases import SharedLeases
 from bergamotshunt.store_codec import (
     GRANT_PATH,
     NOT_FOUND_CODE,
@@ -47,11 +47,7 @@
 
 HANDLERS: Final = HandlerTable()
 MS_PER_S: Final = 1000
-# All keys with the same time to live that are written within an hour share
-# one lease, so that leases cost one grant an hour.
-LEASE_SHARED_S: Final = 3600
 
-LeaseKey = tuple[int, int]
 Watched = Result[StoreEntry | None, StoreFailure]
 
 
@@ -69,7 +65,7 @@
         self.rate = CallRate(self.platform.calls_per_s, self.now_ms())
         self.circuit = Circuit()
         self.last_failure = ''
-        self.grants_by_key: dict[LeaseKey, AsyncioTask[Answered]] = {}
+        self.leases = SharedLeases(self.grant_lease, self.spawn, context.clock)
 
     async def open(self) -> None:
         """Create the session."""
@@ -140,42 +136,10 @@
         PLATFORM_CALLS.labels(kind, 'ok').inc()
         self.circuit = Circuit()
 
-    async def obtain_leases(
-        self,
-        message: StoreCommit,
-    ) -> Result[dict[int, str], PlatformError]:
-        """Return the shared lease for each time to live of the puts."""
-        leases_by_ttl_s: dict[int, str] = {}
-        for ttl_s in {put.lease_ttl_s for put in message.puts} - {0}:
-            match await self.obtain_lease(ttl_s):
-                case Success(answer):
-                    leases_by_ttl_s[ttl_s] = str(answer['ID'])
-                case Failure(error):
-                    # A grant that was lost leaves no key behind.
-                    failure = error.failure._replace(may_have_run=False)
-                    return Failure(error._replace(failure=failure))
-        return Success(leases_by_ttl_s)
-
-    async def obtain_lease(self, ttl_s: int) -> Answered:
-        """Grant a lease, once for all askers of the same hour."""
-        period = int(self.context.clock() // LEASE_SHARED_S)
-        key = (ttl_s, period)
-        self.grants_by_key = {
-            known: grant
-            for known, grant in self.grants_by_key.items()
-            if known[1] == period
-        }
-        grant = self.grants_by_key.get(key)
-        if grant is None:
-            body = {'TTL': str(ttl_s + LEASE_SHARED_S)}
-            grant = self.spawn(
-                self.call('lease-grant', GRANT_PATH, body, writes=True)
-            )
-            self.grants_by_key[key] = grant
-        outcome = await shield(grant)
-        if isinstance(outcome, Failure):
-            self.grants_by_key.pop(key, None)
-        return outcome
+    async def grant_lease(self, ttl_s: int) -> Answered:
+        """Ask the platform for a lease."""
+        body = {'TTL': str(ttl_s)}
+        return await self.call('lease-grant', GRANT_PATH, body, writes=True)
 
     async def watch_from(
         self,
@@ -230,14 +194,15 @@
     match answered:
         case Failure(error) if error.code == NOT_FOUND_CODE:
             # The lease expired before its time, for example in a pause.
-            task.grants_by_key.clear()
+            task.leases.forget()
             answered = await commit_once(task, message)
     return answered.map(task.codec.decode_committed).alt(take_failure)
 
 
 async def commit_once(task: StoreTask, message: StoreCommit) -> Answered:
     """Send the transaction with the leases that its puts need."""
-    leases = await task.obtain_leases(message)
+    ttls_s = {put.lease_ttl_s for put in message.puts} - {0}
+    leases = await task.leases.obtain_all(ttls_s)
     if not isinstance(leases, Success):
         return Failure(leases.failure())
     body = task.codec.encode_commit(message, leases.unwrap())
--- /dev/null
+++ b/bergamotshunt/submitting.py
@@ -0,0 +1,287 @@
+"""Commits of submitted changes to the platform, each exactly once."""
+
+from asyncio import gather, sleep
+from random import Random
+from time import time
+from typing import Final, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from bergamotshunt.decisions.submissions import (
+    Proposed,
+    Repeated,
+    SubmissionView,
+    decide_submission,
+)
+from bergamotshunt.kernel import Post
+from bergamotshunt.messages import (
+    StoreCommit,
+    StoreCommitted,
+    StoreEntry,
+    StoreFailure,
+    StoreGet,
+    StorePut,
+    SubmitChange,
+)
+from bergamotshunt.platform_targets import (
+    Entries,
+    Head,
+    fetch_changes,
+    fetch_head,
+    fetch_service,
+    first_failure,
+)
+from bergamotshunt.targets import Change, ServiceTargets
+from bergamotshunt.targets_codec import (
+    HEAD_KEY,
+    change_key,
+    decode_change,
+    encode_change,
+    encode_service,
+    service_key,
+    submission_key,
+)
+from bergamotshunt.targets_messages import (
+    SubmitFailure,
+    SubmitFailureKind,
+)
+
+# Other services may move the head between the read and the commit.
+ATTEMPTS: Final = 8
+FIRST_PAUSE_S: Final = 0.02
+LONGEST_PAUSE_S: Final = 0.4
+# Changes that are searched for the one that removed a service.
+SEARCHED_CHANGES: Final = 1000
+
+Expected = tuple[tuple[str, int], ...]
+
+
+class ReadView(NamedTuple):
+    """The decision's view, with the revisions that the commit compares."""
+
+    view: SubmissionView
+    expected: Expected
+
+
+class Attempt(NamedTuple):
+    """Result of one attempt.
+
+    Attributes:
+        outcome: Final result, or None when another attempt is needed.
+        failure: Why the platform did not decide, if it did not.
+    """
+
+    outcome: Result[Change, SubmitFailure] | None
+    failure: StoreFailure | None = None
+
+
+class Submitter:
+    """Commits changes with compare-and-swap.
+
+    Args:
+        post: Post of the daemon.
+        audit_records: Number of change records to keep.
+        rng: Random source of the pauses.
+    """
+
+    def __init__(self, post: Post, audit_records: int, rng: Random) -> None:
+        """Create the submitter."""
+        self._post = post
+        self._audit_records = audit_records
+        self._rng = rng
+
+    async def submit(
+        self,
+        message: SubmitChange,
+    ) -> Result[Change, SubmitFailure]:
+        """Commit a change, or find out what became of it.
+
+        A write whose answer was lost is safe to repeat: the commit
+        compares the head, the service and the submission, so that at most
+        one of the attempts takes effect.
+        """
+        failures: list[StoreFailure] = []
+        for number in range(ATTEMPTS):
+            if number:
+                await self._pause(number)
+            attempt = await self._attempt(message)
+            if attempt.outcome is not None:
+                return attempt.outcome
+            if attempt.failure is not None:
+                failures.append(attempt.failure)
+        return Failure(describe_failures(failures))
+
+    async def _pause(self, number: int) -> None:
+        longest_s = min(FIRST_PAUSE_S * 2**number, LONGEST_PAUSE_S)
+        await sleep(self._rng.uniform(0, longest_s))
+
+    async def _attempt(self, message: SubmitChange) -> Attempt:
+        read = await self._read(message)
+        if not isinstance(read, Success):
+            return Attempt(None, read.failure())
+        view, expected = read.unwrap()
+        decision = decide_submission(message, view, time())
+        if isinstance(decision, SubmitFailure):
+            return Attempt(Failure(decision))
+        if isinstance(decision, Repeated):
+            return Attempt(Success(decision.change))
+        return await self._commit(decision, expected)
+
+    async def _commit(self, proposed: Proposed, expected: Expected) -> Attempt:
+        change = proposed.change
+        found: Result[tuple[str, ...], StoreFailure]
+        found = await self._find_surplus(change.revision)
+        if not isinstance(found, Success):
+            return Attempt(None, found.failure())
+        commit = build_commit(change, expected, found.unwrap())
+        outcome: Result[StoreCommitted, StoreFailure]
+        outcome = await self._post.ask(commit)
+        match outcome:
+            case Success(committed) if committed.won:
+                return Attempt(Success(change))
+            case Failure(failure):
+                return Attempt(None, failure)
+        return Attempt(None)
+
+    async def _read(
+        self,
+        message: SubmitChange,
+    ) -> Result[ReadView, StoreFailure]:
+        key = submission_key(message.operator, message.submission_id)
+        stored_key = service_key(message.service)
+        head: Result[Head, StoreFailure]
+        stored: Result[tuple[ServiceTargets | None, int], StoreFailure]
+        submission: Entries
+        head, stored, submission = await gather(
+            fetch_head(self._post),
+            fetch_service(self._post, stored_key),
+            self._post.ask(StoreGet(key)),
+        )
+        failure = first_failure(head, stored, submission)
+        if failure is not None:
+            return Failure(failure)
+        service, mod_revision = stored.unwrap()
+        view = SubmissionView(head.unwrap().revision, service)
+        expected = (
+            (HEAD_KEY, head.unwrap().mod_revision),
+            (stored_key, mod_revision),
+            (key, 0),
+        )
+        completed = await self._complete(message, view, submission.unwrap())
+        return completed.map(lambda whole: ReadView(whole, expected))
+
+    async def _complete(
+        self,
+        message: SubmitChange,
+        view: SubmissionView,
+        submission: tuple[StoreEntry, ...],
+    ) -> Result[SubmissionView, StoreFailure]:
+        if submission:
+            earlier = await self._fetch_change(int(submission[0].content))
+            return earlier.map(lambda change: view._replace(earlier=change))
+        if revision_of(view.service) == message.expected_revision:
+            return Success(view)
+        winner = await self._fetch_winner(message, view)
+        return winner.map(lambda change: view._replace(last_change=change))
+
+    async def _fetch_change(
+        self,
+        revision: int,
+    ) -> Result[Change | None, StoreFailure]:
+        outcome: Entries = await self._post.ask(StoreGet(change_key(revision)))
+        return outcome.map(read_first_change)
+
+    async def _fetch_winner(
+        self,
+        message: SubmitChange,
+        view: SubmissionView,
+    ) -> Result[Change | None, StoreFailure]:
+        if view.service is not None:
+            return await self._fetch_change(view.service.revision)
+        outcome = await fetch_changes(
+            self._post, message.expected_revision, SEARCHED_CHANGES
+        )
+        return outcome.map(
+            lambda changes: find_last(changes, message.service),
+        )
+
+    async def _find_surplus(
+        self,
+        next_revision: int,
+    ) -> Result[tuple[str, ...], StoreFailure]:
+        newest_surplus = next_revision - self._audit_records
+        if newest_surplus <= 0:
+            return Success(())
+        # Two at a time, so that a bound that was lowered is reached.
+        outcome = await fetch_changes(self._post, 0, 2)
+        return outcome.map(
+            lambda changes: list_surplus_keys(changes, newest_surplus),
+        )
+
+
+def revision_of(service: ServiceTargets | None) -> int:
+    """Return the revision of a service's targets; 0 for none."""
+    return 0 if service is None else service.revision
+
+
+def read_first_change(entries: tuple[StoreEntry, ...]) -> Change | None:
+    """Read the change from the entries of its key."""
+    return decode_change(entries[0].content) if entries else None
+
+
+def find_last(changes: tuple[Change, ...], service: str) -> Change | None:
+    """Return the newest change of a service."""
+    matching = [change for change in changes if change.service == service]
+    return matching[-1] if matching else None
+
+
+def list_surplus_keys(
+    changes: tuple[Change, ...],
+    newest_surplus: int,
+) -> tuple[str, ...]:
+    """List the keys of change records beyond the bound."""
+    keys: list[str] = []
+    for change in changes:
+        if change.revision <= newest_surplus:
+            keys.append(change_key(change.revision))
+            keys.append(submission_key(change.operator, change.submission_id))
+    return tuple(keys)
+
+
+def build_commit(
+    change: Change,
+    expected: Expected,
+    surplus_keys: tuple[str, ...],
+) -> StoreCommit:
+    """Build the transaction that makes a change and its audit record."""
+    content = encode_change(change)
+    puts = [
+        StorePut(HEAD_KEY, content),
+        StorePut(change_key(change.revision), content),
+        StorePut(
+            submission_key(change.operator, change.submission_id),
+            str(change.revision).encode(),
+        ),
+    ]
+    deletes = surplus_keys
+    if change.after is None:
+        deletes = (*deletes, service_key(change.service))
+    else:
+        stored = encode_service(change.after)
+        puts.append(StorePut(service_key(change.service), stored))
+    return StoreCommit(expected, tuple(puts), deletes)
+
+
+def describe_failures(failures: list[StoreFailure]) -> SubmitFailure:
+    """Tell whether the change may have been accepted nevertheless."""
+    if any(failure.may_have_run for failure in failures):
+        return SubmitFailure(
+            SubmitFailureKind.UNKNOWN,
+            'the change may or may not have been accepted; submit it again '
+            f'with the same id to find out ({failures[-1].detail})',
+        )
+    reason = failures[-1].detail if failures else 'too many other changes'
+    return SubmitFailure(
+        SubmitFailureKind.UNAVAILABLE,
+        f'the change was not accepted: {reason}',
+    )
--- a/bergamotshunt/targets.py
+++ b/bergamotshunt/targets.py
@@ -75,7 +75,7 @@
 
 
 class TargetDocument(TypedDict, total=False):
-    """A target as JSON in the administration API."""
+    """A target as JSON: administration API, platform, peers."""
 
     name: str
     methods: list[str]
@@ -88,8 +88,22 @@
 
 
 class ServiceDocument(TypedDict, total=False):
-    """Targets of a service as JSON in the administration API."""
+    """Targets of a service as JSON: administration API, platform, peers."""
 
     service: str
     measuring_share: float
     targets: list[TargetDocument]
+    revision: int
+
+
+class ChangeDocument(TypedDict):
+    """An accepted change as JSON: audit record, platform, peers."""
+
+    revision: int
+    service: str
+    before: ServiceDocument | None
+    after: ServiceDocument | None
+    operator: str
+    reason: str
+    submission_id: str
+    accepted_at: float
--- /dev/null
+++ b/bergamotshunt/targets_catching_up.py
@@ -0,0 +1,54 @@
+"""Fetch of the changes that a daemon is missing, from one source."""
+
+from typing import Final
+
+from returns.result import Success
+
+from bergamotshunt.kernel import Post
+from bergamotshunt.platform_targets import fetch_changes, fetch_snapshot
+from bergamotshunt.targets import Change
+from bergamotshunt.targets_messages import PulledTargets
+
+# More missing changes than this cost more than a snapshot.
+MOST_CHANGES: Final = 200
+
+
+async def fetch_from_platform(
+    post: Post,
+    after_revision: int,
+) -> PulledTargets | None:
+    """Fetch changes, or everything when their records are gone.
+
+    Returns:
+        What is missing, or None without an answer of the platform.
+    """
+    match await fetch_changes(post, after_revision, MOST_CHANGES + 1):
+        case Success(changes) if follows(changes, after_revision):
+            newest = changes[-1].revision
+            return PulledTargets(
+                loaded=True, revision=newest, age_ms=0, changes=changes
+            )
+        case Success(_):
+            return await fetch_everything(post)
+    return None
+
+
+async def fetch_everything(post: Post) -> PulledTargets | None:
+    """Fetch all targets from the platform."""
+    match await fetch_snapshot(post):
+        case Success(target_set):
+            return PulledTargets(
+                loaded=True,
+                revision=target_set.revision,
+                age_ms=0,
+                snapshot=tuple(target_set.by_service.values()),
+            )
+    return None
+
+
+def follows(changes: tuple[Change, ...], after_revision: int) -> bool:
+    """Tell whether the changes close the gap after a revision."""
+    return (
+        0 < len(changes) <= MOST_CHANGES
+        and changes[0].revision == after_revision + 1
+    )
--- /dev/null
+++ b/bergamotshunt/targets_codec.py
@@ -0,0 +1,135 @@
+"""Keys of the targets in the platform, and their JSON documents."""
+
+from typing import Final
+
+from msgspec.json import decode, encode
+
+from bergamotshunt.targets import (
+    Change,
+    ChangeDocument,
+    ServiceDocument,
+    ServiceTargets,
+    Target,
+    TargetDocument,
+)
+
+TARGETS_PREFIX: Final = 'targets/'
+# Holds the newest change, so that a watch needs no further read.
+HEAD_KEY: Final = 'targets/head'
+SERVICES_PREFIX: Final = 'targets/services/'
+CHANGES_PREFIX: Final = 'changes/'
+SUBMISSIONS_PREFIX: Final = 'submissions/'
+
+
+def service_key(service: str) -> str:
+    """Return the key of a service's targets."""
+    return SERVICES_PREFIX + service
+
+
+def change_key(revision: int) -> str:
+    """Return the key of a change; keys sort by revision."""
+    return f'{CHANGES_PREFIX}{revision:012d}'
+
+
+def submission_key(operator: str, submission_id: str) -> str:
+    """Return the key that tells which revision a submission made."""
+    return f'{SUBMISSIONS_PREFIX}{operator}/{submission_id}'
+
+
+def describe_target(target: Target) -> TargetDocument:
+    """Build the document of a target."""
+    return TargetDocument(
+        name=target.name,
+        methods=list(target.methods),
+        path_prefix=target.path_prefix,
+        idempotent=target.idempotent,
+        answered_within_ms=target.answered_within_ms,
+        share=target.share,
+        weight=target.weight,
+        internal=target.internal,
+    )
+
+
+def describe_service(service: ServiceTargets) -> ServiceDocument:
+    """Build the document of a service's targets."""
+    return ServiceDocument(
+        service=service.service,
+        measuring_share=service.measuring_share,
+        targets=[describe_target(target) for target in service.targets],
+        revision=service.revision,
+    )
+
+
+def read_service(document: ServiceDocument) -> ServiceTargets:
+    """Read the document of a service's targets."""
+    fields = dict(document)
+    fields['targets'] = tuple(map(read_target, document.get('targets', ())))
+    return ServiceTargets(**fields)  # type: ignore[arg-type]
+
+
+def read_target(document: TargetDocument) -> Target:
+    """Read the document of a target."""
+    fields = dict(document)
+    if 'methods' in document:
+        fields['methods'] = tuple(document['methods'])
+    return Target(**fields)  # type: ignore[arg-type]
+
+
+def describe_change(change: Change) -> ChangeDocument:
+    """Build the document of a change."""
+    before = change.before and describe_service(change.before)
+    after = change.after and describe_service(change.after)
+    return ChangeDocument(
+        revision=change.revision,
+        service=change.service,
+        before=before,
+        after=after,
+        operator=change.operator,
+        reason=change.reason,
+        submission_id=change.submission_id,
+        accepted_at=change.accepted_at,
+    )
+
+
+def read_change(document: ChangeDocument) -> Change:
+    """Read the document of a change."""
+    before = document['before']
+    after = document['after']
+    return Change(
+        revision=document['revision'],
+        service=document['service'],
+        before=None if before is None else read_service(before),
+        after=None if after is None else read_service(after),
+        operator=document['operator'],
+        reason=document['reason'],
+        submission_id=document['submission_id'],
+        accepted_at=document['accepted_at'],
+    )
+
+
+def encode_change(change: Change) -> bytes:
+    """Encode a change for the platform."""
+    return encode(describe_change(change))
+
+
+def decode_change(content: bytes) -> Change:
+    """Decode a change.
+
+    Raises:
+        msgspec.DecodeError: It is not the document of a change.
+    """
+    return read_change(decode(content, type=ChangeDocument))
+
+
+def encode_service(service: ServiceTargets) -> bytes:
+    """Encode a service's targets for the platform."""
+    return encode(describe_service(service))
+
+
+def decode_service(content: bytes) -> ServiceTargets:
+    """Decode a service's targets.
+
+    Raises:
+        msgspec.DecodeError: It is not the document of a service.
+    """
+    return read_service(decode(content, type=ServiceDocument))
--- /dev/null
+++ b/bergamotshunt/tests/test_keeping_machine.py
@@ -0,0 +1,374 @@
+"""State machine: keepers, submissions and a platform that misbehaves.
+
+Answers are lost, late, stale or reordered; daemons restart and operators
+race. Only pure code runs: the decisions, the codecs and the data of the
+platform stand-in.
+"""
+
+from typing import Any, NamedTuple
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from bergamotshunt.decisions.keeping import (
+    KeeperState,
+    answer_pull,
+    take_change,
+    take_fetched,
+    take_head,
+    take_learned,
+    take_revision,
+)
+from bergamotshunt.decisions.learning import PeerOffer, plan_learning
+from bergamotshunt.decisions.revisions import apply_change
+from bergamotshunt.decisions.submissions import (
+    Proposed,
+    Repeated,
+    SubmissionView,
+    decide_submission,
+)
+from bergamotshunt.messages import RevisionHeard, StoreGet, SubmitChange
+from bergamotshunt.platform_targets import (
+    read_changes,
+    read_head,
+    read_snapshot,
+    read_stored_service,
+)
+from bergamotshunt.store_codec import StoreCodec
+from bergamotshunt.submitting import build_commit, read_first_change
+from bergamotshunt.targets import Change, ServiceTargets, Target, TargetSet
+from bergamotshunt.targets_codec import (
+    CHANGES_PREFIX,
+    HEAD_KEY,
+    SERVICES_PREFIX,
+    TARGETS_PREFIX,
+    change_key,
+    service_key,
+    submission_key,
+)
+from bergamotshunt.targets_messages import TargetsFetched, TargetsLearned
+from standins.platform_data import KeyValueData
+
+DAEMONS = ('d1', 'd2', 'd3')
+CODEC = StoreCodec('p/')
+
+daemons = st.sampled_from(DAEMONS)
+services = st.sampled_from(('jar-ledger', 'catalog'))
+flags = st.booleans()
+picks = st.integers(0, 10_000)
+
+
+class Pending(NamedTuple):
+    """A commit on its way to the platform."""
+
+    message: SubmitChange
+    change: Change
+    body: dict[str, Any]
+
+
+class Late(NamedTuple):
+    """A message between daemons, delivered whenever the test decides."""
+
+    sender: str
+    body: Any
+    sent_ms: float
+
+
+def read(data: KeyValueData, message: StoreGet) -> Any:
+    return CODEC.decode_entries(data.read(CODEC.encode_get(message)))
+
+
+class Machine(RuleBasedStateMachine):
+    """Three daemons, two services, one platform."""
+
+    allows_stale = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.data = KeyValueData()
+        self.old_data = self.data.copy()
+        self.now_ms = 1000.0
+        self.heads = [(0.0, 0)]
+        self.folded = [TargetSet(0, {})]
+        self.states = dict.fromkeys(DAEMONS, KeeperState())
+        self.floors = dict.fromkeys(DAEMONS, 0)
+        self.messages: list[SubmitChange] = []
+        self.commits: list[Pending] = []
+        self.late: list[Late] = []
+        self.answered: list[tuple[SubmitChange, Change]] = []
+
+    def source(self, stale: bool) -> KeyValueData:
+        return self.old_data if stale and self.allows_stale else self.data
+
+    def put(self, daemon: str, state: KeeperState) -> None:
+        assert state.log.revision >= self.floors[daemon], 'went back'
+        self.floors[daemon] = state.log.revision
+        self.states[daemon] = state
+
+    def changes(self) -> tuple[Change, ...]:
+        return read_changes(read(self.data, StoreGet(CHANGES_PREFIX, True)))
+
+    @initialize(is_loaded=st.lists(flags, min_size=3, max_size=3))
+    def start(self, is_loaded: list[bool]) -> None:
+        """Most examples start with targets and daemons that know them."""
+        self.accept('jar-ledger', 1, removes=False)
+        for daemon, loaded in zip(DAEMONS, is_loaded, strict=True):
+            if loaded:
+                self.restart(daemon, answers=True, stale=False, peers=set())
+
+    @rule(service=services, number=st.integers(1, 9), removes=flags)
+    def accept(self, service: str, number: int, removes: bool) -> None:
+        """A change that meets no fault."""
+        self.state_change(service, number, removes)
+        self.submit(len(self.messages) - 1, stale=False)
+        if self.commits and self.commits[-1].message == self.messages[-1]:
+            self.run_commit(len(self.commits) - 1, False, False)
+
+    @rule(step=st.integers(1, 2000))
+    def wait(self, step: int) -> None:
+        self.now_ms += step
+
+    @rule()
+    def remember_old_data(self) -> None:
+        self.old_data = self.data.copy()
+
+    @rule(service=services, number=st.integers(1, 9), removes=flags)
+    def state_change(self, service: str, number: int, removes: bool) -> None:
+        """An operator states a change at the revision that he sees."""
+        key = service_key(service)
+        seen, _ = read_stored_service(read(self.data, StoreGet(key)))
+        after = None
+        if not removes:
+            target = Target('only', weight=float(number))
+            after = ServiceTargets(service, (target,))
+        self.messages.append(
+            SubmitChange(
+                service,
+                after,
+                seen.revision if seen else 0,
+                'ana',
+                '',
+                f's{len(self.messages)}',
+            )
+        )
+
+    @precondition(lambda self: self.messages)
+    @rule(pick=picks, stale=flags)
+    def submit(self, pick: int, stale: bool) -> None:
+        """A daemon reads and sends a commit; also the repeat of one."""
+        message = self.messages[pick % len(self.messages)]
+        data = self.source(stale)
+        head = read_head(read(data, StoreGet(HEAD_KEY)))
+        stored_key = service_key(message.service)
+        service, mod = read_stored_service(read(data, StoreGet(stored_key)))
+        key = submission_key(message.operator, message.submission_id)
+        known = read(data, StoreGet(key))
+        view = SubmissionView(head.revision, service)
+        if known:
+            record = StoreGet(change_key(int(known[0].content)))
+            earlier = read_first_change(read(data, record))
+            view = view._replace(earlier=earlier)
+        decision = decide_submission(message, view, 0)
+        if isinstance(decision, Repeated):
+            self.answered.append((message, decision.change))
+        elif isinstance(decision, Proposed):
+            expected = (
+                (HEAD_KEY, head.mod_revision),
+                (stored_key, mod),
+                (key, 0),
+            )
+            commit = build_commit(decision.change, expected, ())
+            body = CODEC.encode_commit(commit, {})
+            self.commits.append(Pending(message, decision.change, body))
+
+    @precondition(lambda self: self.commits)
+    @rule(pick=picks, is_lost=flags, is_repeated=flags)
+    def run_commit(self, pick: int, is_lost: bool, is_repeated: bool) -> None:
+        """A commit arrives; its answer may be lost, the network may repeat
+        it."""
+        index = pick % len(self.commits)
+        pending = self.commits[index]
+        if not is_repeated:
+            self.commits.pop(index)
+        committed = CODEC.decode_committed(self.data.run(pending.body))
+        if committed.won:
+            seen = pending.message.expected_revision
+            before = pending.change.before
+            assert seen == (before.revision if before else 0)
+            assert before == self.fold(
+                pending.change.revision - 1
+            ).by_service.get(pending.message.service), (
+                'a change that nobody saw is overwritten'
+            )
+            self.heads.append((self.now_ms, pending.change.revision))
+            if not is_lost:
+                self.answered.append((pending.message, pending.change))
+
+    @rule(daemon=daemons, stale=flags)
+    def read_platform(self, daemon: str, stale: bool) -> None:
+        state = self.states[daemon]
+        head = read_head(read(self.source(stale), StoreGet(HEAD_KEY)))
+        if state.contacts.loaded:
+            self.put(daemon, take_head(state, head.change, self.now_ms))
+
+    @precondition(lambda self: len(self.heads) > 1)
+    @rule(daemon=daemons, pick=picks)
+    def see_watch_event(self, daemon: str, pick: int) -> None:
+        """An event that may have waited while the daemon was paused."""
+        changes = self.changes()
+        change = changes[pick % len(changes)]
+        state = self.states[daemon]
+        self.put(daemon, take_change(state, change, '', self.now_ms))
+
+    @rule(sender=daemons, after=st.integers(-1, 9))
+    def send_to_peers(self, sender: str, after: int) -> None:
+        """A daemon tells its revision, its newest change, and an answer to
+        a pull; they arrive late, in any order, or never."""
+        state = self.states[sender]
+        pulled = answer_pull(state, after, self.now_ms)
+        bodies: list[Any] = [pulled, *state.log.recent[-1:]]
+        if state.contacts.loaded:
+            bodies.append(
+                RevisionHeard(state.log.revision, sender, pulled.age_ms)
+            )
+        for body in bodies:
+            self.late.append(Late(sender, body, self.now_ms))
+
+    @precondition(lambda self: self.late)
+    @rule(receiver=daemons, pick=picks)
+    def receive(self, receiver: str, pick: int) -> None:
+        message = self.late[pick % len(self.late)]
+        state = self.states[receiver]
+        if message.sender == receiver:
+            return
+        if isinstance(message.body, Change):
+            state = take_change(
+                state, message.body, message.sender, self.now_ms
+            )
+        elif isinstance(message.body, RevisionHeard):
+            # A datagram's age is told when it is sent; a late one is older.
+            late_ms = int(self.now_ms - message.sent_ms)
+            heard = message.body._replace(age_ms=message.body.age_ms + late_ms)
+            state = take_revision(state, heard, self.now_ms)
+        elif state.contacts.loaded:
+            fetched = TargetsFetched(
+                message.body, message.sender, message.sent_ms
+            )
+            state = take_fetched(state, fetched)
+        self.put(receiver, state)
+
+    @rule(daemon=daemons, answers=flags, stale=flags, peers=st.sets(daemons))
+    def restart(
+        self, daemon: str, answers: bool, stale: bool, peers: set[str]
+    ) -> None:
+        """A daemon starts anew and learns from whoever answers."""
+        self.states[daemon] = KeeperState()
+        self.floors[daemon] = 0
+        data = self.source(stale)
+        head = read_head(read(data, StoreGet(HEAD_KEY)))
+        offers = tuple(
+            PeerOffer(peer, state.log.revision, answer.age_ms)
+            for peer in sorted(peers)
+            for state in (self.states[peer],)
+            for answer in (answer_pull(state, -1, self.now_ms),)
+            if answer.loaded
+        )
+        plan = plan_learning(head.revision if answers else None, offers)
+        if plan is None:
+            return
+        snapshot = read_snapshot(
+            read(data, StoreGet(TARGETS_PREFIX, prefix=True))
+        )
+        if plan.addresses:
+            peer_log = self.states[plan.addresses[0]].log
+            snapshot = peer_log.target_set
+        ages = [
+            offer.age_ms for offer in offers if offer.revision == plan.revision
+        ]
+        age_ms = 0 if plan.from_platform else min(ages)
+        learned = TargetsLearned(
+            snapshot,
+            self.now_ms,
+            self.now_ms - age_ms,
+            plan.from_platform,
+            bool(offers),
+        )
+        self.put(daemon, take_learned(KeeperState(), learned))
+        told = [offer.revision for offer in offers]
+        if answers:
+            told.append(head.revision)
+        assert self.states[daemon].log.revision >= max(told)
+
+    @invariant()
+    def each_change_exists_once_with_its_record(self) -> None:
+        changes = self.changes()
+        head = read_head(read(self.data, StoreGet(HEAD_KEY)))
+        revisions = [change.revision for change in changes]
+        assert revisions == list(range(1, head.revision + 1))
+        ids = [change.submission_id for change in changes]
+        assert len(ids) == len(set(ids)), 'a submission was applied twice'
+        for message, change in self.answered:
+            assert (
+                change.after is None
+                or change.after._replace(revision=0) == message.after
+            ), 'another change is told as accepted'
+            assert changes[change.revision - 1] == change
+            assert change.submission_id == message.submission_id
+        stored = read(self.data, StoreGet(SERVICES_PREFIX, prefix=True))
+        by_service = self.fold(head.revision).by_service
+        assert len(stored) == len(by_service)
+        for entry in stored:
+            service, _ = read_stored_service((entry,))
+            assert service is not None
+            assert by_service[service.service] == service
+
+    @invariant()
+    def targets_in_force_are_those_of_their_revision(self) -> None:
+        for state in self.states.values():
+            revision = state.log.revision
+            assert state.log.target_set == self.fold(revision)
+
+    @invariant()
+    def a_confirmed_revision_was_the_newest(self) -> None:
+        if self.allows_stale:
+            return
+        for state in self.states.values():
+            confirmed_ms = state.contacts.confirmed_ms
+            if confirmed_ms is not None:
+                newest = max(
+                    revision
+                    for told_ms, revision in self.heads
+                    if told_ms < confirmed_ms or not revision
+                )
+                assert newest <= state.log.revision
+
+    def fold(self, revision: int) -> TargetSet:
+        while len(self.folded) <= revision:
+            change = self.changes()[len(self.folded) - 1]
+            self.folded.append(apply_change(self.folded[-1], change))
+        return self.folded[revision]
+
+
+class PunctualMachine(Machine):
+    """The same without stale reads, to check ages of confirmations."""
+
+    allows_stale = False
+
+
+LIMITS = settings(
+    derandomize=True,
+    max_examples=100,
+    stateful_step_count=50,
+    deadline=None,
+)
+TestKeeping = Machine.TestCase
+TestKeeping.settings = LIMITS
+TestConfirming = PunctualMachine.TestCase
+TestConfirming.settings = LIMITS
--- a/bergamotshunt/tests/test_path.py
+++ b/bergamotshunt/tests/test_path.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from msgspec.json import encode
 from returns.result import Success
 
 from bergamotshunt.daemon import create_kernel
@@ -16,7 +15,13 @@
     PlatformSettings,
     Settings,
 )
-from bergamotshunt.targets import ServiceTargets, Target
+from bergamotshunt.targets import Change, ServiceTargets, Target
+from bergamotshunt.targets_codec import (
+    HEAD_KEY,
+    encode_change,
+    encode_service,
+    service_key,
+)
 from bergamotshunt.transport import HttpAnswer, HttpRequest, Sender
 from bergamotshunt.web import HttpServer
 from standins.backend import BackendStandIn
@@ -60,9 +65,12 @@
 
 async def walk() -> None:
     stand_in = PlatformStandIn()
-    stand_in.by_key['bergamotshunt/targets/jar-ledger'] = Stored(
-        encode(TARGETS), 1, 1
-    )
+    change = Change(1, 'jar-ledger', None, TARGETS, 'ana', 'first', 's1', 0)
+    for key, content in (
+        (HEAD_KEY, encode_change(change)),
+        (service_key('jar-ledger'), encode_service(TARGETS)),
+    ):
+        stand_in.by_key[f'bergamotshunt/{key}'] = Stored(content, 1, 1)
     platform = HttpServer(stand_in.app, '127.0.0.1', 0)
     await platform.open()
     servers = [
