Serve the administration API and the operators' commands

Cause: operators could neither state targets nor see who changed them, and tests with real tasks found two faults of the keeper. Ruled out: wait_for around the start of a watch. The kernel's Post.ask uses wait_for too and is open to the same fault. Also ruled out: putting a pushed change in force before the targets are learned; a daemon that started showed revision 1 while its peer had 2 (assert 1 == 2). Conclusion: operators state targets through any daemon, lose no race unseen, and find out what became of a change whose answer was lost.

--- /dev/null
+++ b/bergamotshunt/admin_answers.py
@@ -0,0 +1,120 @@
+"""Answers of the administration API: documents, tags and problems."""
+
+from http import HTTPStatus
+from typing import Any, Final
+
+from msgspec.json import encode
+from starlette.responses import Response
+
+from bergamotshunt.decisions.validation import FieldError
+from bergamotshunt.headers import RETRY_AFTER, VERDICT
+from bergamotshunt.targets_codec import describe_change, describe_service
+from bergamotshunt.targets_messages import SubmitFailure, SubmitFailureKind
+from bergamotshunt.verdicts import CallFailure, Verdict, create_problem
+
+ETAG: Final = 'etag'
+RETRY_AFTER_S: Final = '2'
+STATUSES_BY_KIND: Final = {
+    SubmitFailureKind.CONFLICT: HTTPStatus.PRECONDITION_FAILED,
+    SubmitFailureKind.ABSENT: HTTPStatus.NOT_FOUND,
+    SubmitFailureKind.REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    SubmitFailureKind.UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
+    SubmitFailureKind.UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
+}
+
+
+class MalformedTagError(ValueError):
+    """An If-Match header that names no revision."""
+
+
+def format_tag(revision: int) -> str:
+    """Write a revision as an entity tag."""
+    return f'"{revision}"'
+
+
+def parse_tag(text: str) -> int:
+    """Read a revision from an If-Match header.
+
+    Raises:
+        MalformedTagError: It is not a single tag of this API.
+    """
+    digits = text.strip().removeprefix('"').removesuffix('"')
+    if not digits.isdecimal() or text.strip() != f'"{digits}"':
+        raise MalformedTagError(text)
+    return int(digits)
+
+
+def answer_document(
+    document: Any,
+    status: HTTPStatus = HTTPStatus.OK,
+    revision: int | None = None,
+) -> Response:
+    """Answer with a JSON document, tagged with its revision."""
+    headers = {} if revision is None else {ETAG: format_tag(revision)}
+    return Response(
+        encode(document),
+        int(status),
+        headers,
+        media_type='application/json',
+    )
+
+
+def answer_problem(
+    failure: CallFailure,
+    request_id: str = '',
+    **extensions: Any,
+) -> Response:
+    """Answer with a problem document of RFC 9457."""
+    headers = {VERDICT: failure.verdict.value}
+    if failure.status is HTTPStatus.SERVICE_UNAVAILABLE:
+        headers[RETRY_AFTER] = RETRY_AFTER_S
+    return Response(
+        encode({**create_problem(failure, request_id), **extensions}),
+        int(failure.status),
+        headers,
+        media_type='application/problem+json',
+    )
+
+
+def answer_errors(errors: tuple[FieldError, ...]) -> Response:
+    """Answer with all errors of a document."""
+    failure = CallFailure(
+        Verdict.NOT_RUN,
+        HTTPStatus.UNPROCESSABLE_ENTITY,
+        'invalid-targets',
+        f'{len(errors)} fields are not allowed; nothing was changed',
+    )
+    listed = [error._asdict() for error in errors]
+    return answer_problem(failure, errors=listed)
+
+
+def answer_submit_failure(
+    failure: SubmitFailure,
+    submission_id: str,
+    is_revision_missing: bool,
+) -> Response:
+    """Answer to a submission that was not accepted.
+
+    Args:
+        failure: Why.
+        submission_id: Identity of the submission, for a repeat.
+        is_revision_missing: Whether the request had no If-Match header.
+    """
+    status = STATUSES_BY_KIND[failure.kind]
+    detail = failure.detail
+    if is_revision_missing and failure.kind is SubmitFailureKind.CONFLICT:
+        status = HTTPStatus.PRECONDITION_REQUIRED
+        detail = (
+            'the service has targets already; state the revision that you '
+            f'changed in an If-Match header ({detail})'
+        )
+    is_unknown = failure.kind is SubmitFailureKind.UNKNOWN
+    verdict = Verdict.MAY_HAVE_RUN if is_unknown else Verdict.NOT_RUN
+    winner = failure.winner
+    current = failure.current
+    return answer_problem(
+        CallFailure(verdict, status, failure.kind.value, detail),
+        submission_id=submission_id,
+        winner=None if winner is None else describe_change(winner),
+        current=None if current is None else describe_service(current),
+    )
--- /dev/null
+++ b/bergamotshunt/admin_guard.py
@@ -0,0 +1,99 @@
+"""Checks on every request to the administration API."""
+
+from collections.abc import Mapping
+from hmac import compare_digest
+from http import HTTPStatus
+from typing import Any, Final
+
+from bergamotshunt.verdicts import CallFailure, create_refusal
+from bergamotshunt.web import decode_headers, send_failure
+
+OPEN_PATHS: Final = frozenset(('/metrics',))
+AUTHORIZATION: Final = 'authorization'
+SCHEME: Final = 'bearer'
+# Targets of 64 classes are about 20 KB.
+MAX_BODY_BYTES: Final = 262_144
+OPERATOR: Final = 'operator'
+
+
+def find_operator(
+    authorization: str,
+    tokens_by_name: Mapping[str, str],
+) -> str:
+    """Return the operator whose token it is, or an empty string.
+
+    All tokens are compared, each in constant time, so that the time of the
+    answer tells nothing about them.
+    """
+    scheme, _, text = authorization.partition(' ')
+    is_bearer = scheme.lower() == SCHEME
+    # Header values are decoded as latin-1, settings as UTF-8.
+    token = text.strip().encode('latin-1')
+    found = ''
+    for name, known in tokens_by_name.items():
+        if compare_digest(token, known.encode()) and is_bearer:
+            found = name
+    return found
+
+
+def create_unauthorized() -> CallFailure:
+    """Build the answer to a request without a known token."""
+    return create_refusal(
+        'unauthorized',
+        'state the token of an operator: Authorization: Bearer TOKEN; '
+        'tokens are set in section [operators] of the settings',
+        HTTPStatus.UNAUTHORIZED,
+    )
+
+
+def create_head_too_large(max_bytes: int) -> CallFailure:
+    """Build the answer to a request with too many header bytes."""
+    return create_refusal(
+        'head-too-large',
+        f'the headers are larger than {max_bytes} bytes',
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    )
+
+
+class AdminGuard:
+    """ASGI application that checks requests before another one.
+
+    Puts the operator's name into the scope under ``operator``.
+
+    Args:
+        app: Application to protect.
+        tokens_by_name: Operators' tokens.
+        max_head_bytes: Largest sum of header names and values.
+    """
+
+    def __init__(
+        self,
+        app: Any,
+        tokens_by_name: Mapping[str, str],
+        max_head_bytes: int,
+    ) -> None:
+        """Wrap the application."""
+        self._app = app
+        self._tokens_by_name = tokens_by_name
+        self._max_head_bytes = max_head_bytes
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one request (ASGI)."""
+        failure = self._check(scope)
+        if failure is None:
+            await self._app(scope, receive, send)
+        else:
+            await send_failure(send, failure, '')
+
+    def _check(self, scope: Any) -> CallFailure | None:
+        size = sum(len(name) + len(text) for name, text in scope['headers'])
+        if size + len(scope['raw_path']) > self._max_head_bytes:
+            return create_head_too_large(self._max_head_bytes)
+        if scope['path'] in OPEN_PATHS:
+            return None
+        authorization = decode_headers(scope).get(AUTHORIZATION, '')
+        operator = find_operator(authorization, self._tokens_by_name)
+        if not operator:
+            return create_unauthorized()
+        scope[OPERATOR] = operator
+        return None
--- a/bergamotshunt/cli.py
+++ b/bergamotshunt/cli.py
@@ -10,6 +10,7 @@
 
 from bergamotshunt.daemon import run_daemon
 from bergamotshunt.local_command import run_local
+from bergamotshunt.operator_commands import status, targets_app
 from bergamotshunt.settings import Settings, read_settings
 from bergamotshunt.settings_page import create_settings_page
 
@@ -19,6 +20,8 @@
     name='bergamotshunt',
     help="Load balancer that meets operators' targets.",
 )
+app.command(targets_app)
+app.command(status)
 
 
 def load_settings(path: Path) -> Settings:
--- a/bergamotshunt/decisions/keeping.py
+++ b/bergamotshunt/decisions/keeping.py
@@ -75,11 +75,16 @@
     daemon_id: str,
     now_ms: float,
 ) -> KeeperState:
-    """Take a single change; ``daemon_id`` is empty for the platform."""
+    """Take a single change; ``daemon_id`` is empty for the platform.
+
+    Before the targets are learned it may be an old one, so it is not put
+    in force then.
+    """
     if daemon_id:
         state = note_peer(state, daemon_id, change.revision, now_ms)
-    log = hear_change(state.log, change)
-    return want(state._replace(log=log), change.revision, daemon_id)
+    if state.contacts.loaded:
+        state = state._replace(log=hear_change(state.log, change))
+    return want(state, change.revision, daemon_id)
 
 
 def take_head(
--- /dev/null
+++ b/bergamotshunt/operator_commands.py
@@ -0,0 +1,216 @@
+"""Commands for operators: targets and status."""
+
+from collections.abc import Callable
+from functools import wraps
+from hashlib import sha256
+from pathlib import Path
+from typing import Annotated, Any, Final, ParamSpec
+from urllib.parse import quote
+
+from cyclopts import App, Parameter
+from msgspec import DecodeError
+from msgspec.json import decode, encode
+from msgspec.json import format as format_json
+from rich.console import Console
+
+from bergamotshunt.admin_client import (
+    EXIT_BAD_INPUT,
+    CommandError,
+    Connection,
+    call_admin,
+)
+from bergamotshunt.operator_tables import (
+    create_history_table,
+    create_service_table,
+    create_services_table,
+    create_status_tables,
+)
+
+EXIT_OK: Final = 0
+ID_LENGTH: Final = 32
+TARGETS_PATH: Final = '/v1/targets'
+REVISION: Final = 'revision'
+
+Arguments = ParamSpec('Arguments')
+Admin = Annotated[
+    str,
+    Parameter(
+        env_var='BERGAMOTSHUNT_ADMIN',
+        help='Admin port of any daemon, http://IP:PORT.',
+    ),
+]
+TokenFile = Annotated[
+    Path | None,
+    Parameter(
+        help="File with the operator's token; without it the environment "
+        'variable BERGAMOTSHUNT_TOKEN is used.',
+    ),
+]
+
+targets_app: Final = App(
+    name='targets',
+    help="Show and change the operators' targets.",
+)
+
+
+def with_plain_errors(
+    command: Callable[Arguments, None],
+) -> Callable[Arguments, int]:
+    """Turn a ``CommandError`` into plain lines and an exit code."""
+
+    @wraps(command)
+    def wrapper(*args: Arguments.args, **kwargs: Arguments.kwargs) -> int:
+        try:
+            command(*args, **kwargs)
+        except CommandError as error:
+            write_plain(str(error), to_errors=True)
+            return error.exit_code
+        return EXIT_OK
+
+    return wrapper
+
+
+def show(*tables: Any) -> None:
+    """Print tables; a pipe gets them without colours."""
+    console = Console()
+    for table in tables:
+        console.print(table)
+
+
+def write_plain(text: str, to_errors: bool = False) -> None:
+    """Write lines as they are."""
+    console = Console(stderr=to_errors, soft_wrap=True)
+    console.print(text, markup=False, highlight=False)
+
+
+def service_path(service: str) -> str:
+    """Return the path of a service's targets."""
+    return f'{TARGETS_PATH}/{quote(service, safe="")}'
+
+
+@targets_app.command(name='list')
+@with_plain_errors
+def list_targets(*, admin: Admin, token_file: TokenFile = None) -> None:
+    """Show all services with their targets."""
+    answer = call_admin(Connection(admin, token_file), 'GET', TARGETS_PATH)
+    show(create_services_table(answer.document))
+
+
+@targets_app.command(name='show')
+@with_plain_errors
+def show_targets(
+    service: str,
+    *,
+    admin: Admin,
+    token_file: TokenFile = None,
+    json: bool = False,
+) -> None:
+    """Show the targets of a service.
+
+    Args:
+        service: Name of the service.
+        json: Print the document, to edit it for ``targets set``.
+    """
+    connection = Connection(admin, token_file)
+    document = call_admin(connection, 'GET', service_path(service)).document
+    if json:
+        write_plain(format_json(encode(document)).decode())
+    else:
+        show(create_service_table(document))
+
+
+@targets_app.command(name='set')
+@with_plain_errors
+def set_targets(
+    service: str,
+    file: Path,
+    *,
+    why: str,
+    admin: Admin,
+    token_file: TokenFile = None,
+    revision: int | None = None,
+) -> None:
+    """Change the targets of a service; a repeat is not applied twice.
+
+    Args:
+        service: Name of the service.
+        file: JSON document, as printed by ``targets show --json``.
+        why: Reason, for the audit trail.
+        revision: Revision that you changed; by default the one in the
+            document. Leave it out for a new service.
+    """
+    document = read_document(file)
+    stated = document.pop(REVISION, None)
+    if revision is None:
+        revision = stated
+    headers = {
+        'bergamotshunt-why': why,
+        'idempotency-key': create_submission_id(
+            service, revision, document, why
+        ),
+    }
+    if revision is not None:
+        headers['if-match'] = f'"{revision}"'
+    connection = Connection(admin, token_file)
+    path = service_path(service)
+    answer = call_admin(connection, 'PUT', path, headers, encode(document))
+    write_plain(
+        f'{service}: accepted as revision {answer.document[REVISION]}, '
+        'in force everywhere within seconds',
+    )
+
+
+@targets_app.command(name='history')
+@with_plain_errors
+def show_history(
+    *,
+    admin: Admin,
+    token_file: TokenFile = None,
+    limit: int = 20,
+) -> None:
+    """Show who changed what, when and why; the newest change is last.
+
+    Args:
+        limit: Number of changes.
+    """
+    connection = Connection(admin, token_file)
+    path = f'/v1/changes?limit={limit}'
+    answer = call_admin(connection, 'GET', path)
+    show(create_history_table(answer.document))
+
+
+@with_plain_errors
+def status(*, admin: Admin, token_file: TokenFile = None) -> None:
+    """Show what a daemon sees: targets, platform, members, load."""
+    answer = call_admin(Connection(admin, token_file), 'GET', '/v1/status')
+    show(*create_status_tables(answer.document))
+
+
+def read_document(file: Path) -> dict[str, Any]:
+    """Read a targets document.
+
+    Raises:
+        CommandError: The file is not readable or not a JSON object.
+    """
+    try:
+        document = decode(file.read_bytes())
+    except (OSError, DecodeError) as error:
+        raise CommandError(
+            f'{file} is not a readable JSON file: {error}',
+            EXIT_BAD_INPUT,
+        ) from error
+    if isinstance(document, dict):
+        return document
+    raise CommandError(f'{file} is not a JSON object', EXIT_BAD_INPUT)
+
+
+def create_submission_id(
+    service: str,
+    revision: int | None,
+    document: dict[str, Any],
+    why: str,
+) -> str:
+    """Derive the submission id, so that the same command repeats it."""
+    stated = [service, revision, document, why]
+    digest = sha256(encode(stated, order='sorted')).hexdigest()
+    return digest[:ID_LENGTH]
--- a/bergamotshunt/platform_connection.py
+++ b/bergamotshunt/platform_connection.py
@@ -1,6 +1,6 @@
 """HTTP connections of the store task to the URLs of the platform."""
 
-from asyncio import get_running_loop, timeout_at, wait_for
+from asyncio import get_running_loop, timeout, timeout_at
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 from typing import Any, Final, NamedTuple
@@ -103,7 +103,9 @@
         """
         timeout_s = self._settings.timeout_ms / MS_PER_S
         try:
-            response = await wait_for(self._start_watch(path, body), timeout_s)
+            # wait_for of Python 3.11 may lose a cancellation.
+            async with timeout(timeout_s):
+                response = await self._start_watch(path, body)
         except TimeoutError as error:
             raise ConnectionError('the watch did not start') from error
         try:
--- a/bergamotshunt/plugins/admin.py
+++ b/bergamotshunt/plugins/admin.py
@@ -1,18 +1,63 @@
 """Admin: the administration API and the metrics."""
 
+from http import HTTPStatus
 from typing import Any, Final
+from uuid import uuid4
 
+from msgspec import DecodeError
+from msgspec.json import decode
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from returns.result import Failure, Result
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response
+from starlette.responses import Response
 from starlette.routing import Route
 
+from bergamotshunt.admin_answers import (
+    MalformedTagError,
+    answer_document,
+    answer_errors,
+    answer_problem,
+    answer_submit_failure,
+    parse_tag,
+)
+from bergamotshunt.admin_guard import MAX_BODY_BYTES, OPERATOR, AdminGuard
+from bergamotshunt.decisions.validation import check_service
+from bergamotshunt.headers import BOOKING_KEY
 from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
-from bergamotshunt.messages import DescribeTask, PortBound
-from bergamotshunt.web import HttpServer
+from bergamotshunt.messages import (
+    DescribeTask,
+    DrainRequested,
+    PortBound,
+    SubmitChange,
+    TargetsChanged,
+)
+from bergamotshunt.targets import Change, ServiceTargets, TargetSet
+from bergamotshunt.targets_codec import describe_change, describe_service
+from bergamotshunt.targets_messages import (
+    ChangeList,
+    ListChanges,
+    SubmitFailure,
+)
+from bergamotshunt.verdicts import create_refusal
+from bergamotshunt.web import (
+    BodyTooLargeError,
+    CallerGoneError,
+    HttpServer,
+    read_body,
+)
 
 HANDLERS: Final = HandlerTable()
+IF_MATCH: Final = 'if-match'
+WHY: Final = 'bergamotshunt-why'
+SERVICE: Final = 'service'
+SERVICE_PATH: Final = '/v1/targets/{service}'
+LONGEST_TEXT: Final = 500
+LONGEST_ID: Final = 128
+MOST_CHANGES: Final = 1000
+DEFAULT_CHANGES: Final = 100
+# Several attempts, each with calls that may take the platform's timeout.
+SUBMIT_TIMEOUT_S: Final = 30
 
 
 class AdminTask(Task):
@@ -24,14 +69,26 @@
     def __init__(self, context: Context) -> None:
         """Create the task; ``open`` binds the port."""
         super().__init__(context)
+        self.target_set: TargetSet | None = None
         app = Starlette(
             routes=[
                 Route('/v1/status', self.show_status),
+                Route('/v1/targets', self.list_targets),
+                Route(SERVICE_PATH, self.show_service),
+                Route(SERVICE_PATH, self.put_service, methods=['PUT']),
+                Route(SERVICE_PATH, self.delete_service, methods=['DELETE']),
+                Route('/v1/changes', self.list_changes),
+                Route('/v1/drain', self.drain_server, methods=['POST']),
                 Route('/metrics', show_metrics),
-            ]
+            ],
         )
-        self.http = HttpServer(
+        guarded = AdminGuard(
             app,
+            context.settings.operators,
+            context.settings.calls.max_head_bytes,
+        )
+        self.http = HttpServer(
+            guarded,
             context.settings.daemon.ip,
             context.settings.daemon.admin_port,
         )
@@ -46,12 +103,136 @@
         await self.http.close()
         await super().close()
 
-    async def show_status(self, _request: Request) -> JSONResponse:
+    async def show_status(self, _request: Request) -> Response:
         """Answer with what this daemon sees."""
         status: dict[str, Any] = {'daemon': self.settings.daemon.id}
         for part in await self.post.ask_all(DescribeTask()):
             status.update(part)
-        return JSONResponse(status)
+        return answer_document(status)
+
+    async def list_targets(self, _request: Request) -> Response:
+        """Answer with the targets in force."""
+        target_set = self.target_set
+        if target_set is None:
+            return answer_not_learned()
+        services = sorted(target_set.by_service.items())
+        document = {
+            'revision': target_set.revision,
+            'services': [describe_service(service) for _, service in services],
+        }
+        return answer_document(document, revision=target_set.revision)
+
+    async def show_service(self, request: Request) -> Response:
+        """Answer with the targets of one service."""
+        if self.target_set is None:
+            return answer_not_learned()
+        name = request.path_params[SERVICE]
+        service = self.target_set.by_service.get(name)
+        if service is None:
+            return answer_absent(name)
+        return answer_document(
+            describe_service(service),
+            revision=service.revision,
+        )
+
+    async def put_service(self, request: Request) -> Response:
+        """Change or state the targets of a service."""
+        try:
+            body = await read_body(request.receive, MAX_BODY_BYTES)
+            document = decode(body)
+        except BodyTooLargeError as error:
+            return answer_bad_request(
+                str(error), HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            )
+        except CallerGoneError as error:
+            return answer_bad_request(str(error))
+        except DecodeError as error:
+            return answer_bad_request(f'the body is not JSON: {error}')
+        checked = check_service(document, request.path_params[SERVICE])
+        if checked.service is None:
+            return answer_errors(checked.errors)
+        return await self.submit(request, checked.service)
+
+    async def delete_service(self, request: Request) -> Response:
+        """Remove the targets of a service."""
+        return await self.submit(request, None)
+
+    async def submit(
+        self,
+        request: Request,
+        after: ServiceTargets | None,
+    ) -> Response:
+        """Submit a change and answer with what became of it."""
+        match_text = request.headers.get(IF_MATCH)
+        submission_id = request.headers.get(BOOKING_KEY) or uuid4().hex
+        reason = decode_text(request.headers.get(WHY, ''))
+        if not is_submission_id(submission_id) or len(reason) > LONGEST_TEXT:
+            return answer_bad_request(
+                f'the submission id is limited to {LONGEST_ID} printable '
+                f'ASCII characters and the reason to {LONGEST_TEXT}',
+            )
+        try:
+            revision = 0 if match_text is None else parse_tag(match_text)
+        except MalformedTagError:
+            return answer_bad_request('If-Match must be a tag such as "12"')
+        outcome: Result[Change, SubmitFailure] = await self.post.ask(
+            SubmitChange(
+                service=request.path_params[SERVICE],
+                after=after,
+                expected_revision=revision,
+                operator=request.scope[OPERATOR],
+                reason=reason,
+                submission_id=submission_id,
+            ),
+            SUBMIT_TIMEOUT_S,
+        )
+        match outcome:
+            case Failure(failure):
+                return answer_submit_failure(
+                    failure, submission_id, match_text is None
+                )
+        change = outcome.unwrap()
+        return answer_document(
+            describe_change(change),
+            HTTPStatus.CREATED if change.before is None else HTTPStatus.OK,
+            change.revision,
+        )
+
+    async def list_changes(self, request: Request) -> Response:
+        """Answer with a part of the audit trail."""
+        known = {'after': -1, 'limit': DEFAULT_CHANGES}
+        for name, text in request.query_params.items():
+            if name not in known or not text.isdecimal():
+                return answer_bad_request(
+                    'allowed are after=REVISION and limit=NUMBER',
+                )
+            known[name] = int(text)
+        if not 0 < known['limit'] <= MOST_CHANGES:
+            return answer_bad_request(f'limit is from 1 to {MOST_CHANGES}')
+        listed: ChangeList = await self.post.ask(
+            ListChanges(known['after'], known['limit']),
+        )
+        document = {
+            'revision': listed.revision,
+            'complete': listed.complete,
+            'changes': [describe_change(change) for change in listed.changes],
+        }
+        return answer_document(document, revision=listed.revision)
+
+    async def drain_server(self, _request: Request) -> Response:
+        """Let the backend server and its daemon leave."""
+        self.post.publish(DrainRequested())
+        return answer_document({'draining': True}, HTTPStatus.ACCEPTED)
+
+
+def is_submission_id(text: str) -> bool:
+    """Tell whether the text can identify a submission."""
+    return len(text) <= LONGEST_ID and text.isascii() and text.isprintable()
+
+
+def decode_text(header: str) -> str:
+    """Decode a header value that clients send as UTF-8."""
+    return header.encode('latin-1').decode(errors='replace')
 
 
 async def show_metrics(_request: Request) -> Response:
@@ -59,6 +240,38 @@
     return Response(generate_latest(), media_type=CONTENT_TYPE_LATEST)
 
 
+def answer_not_learned() -> Response:
+    """Answer while the targets are not known here."""
+    return answer_problem(
+        create_refusal('unconfirmed', 'no targets learned yet; try again'),
+    )
+
+
+def answer_absent(service: str) -> Response:
+    """Answer for a service without targets."""
+    return answer_problem(
+        create_refusal(
+            'unknown-service',
+            f'no targets are stated for {service}',
+            HTTPStatus.NOT_FOUND,
+        ),
+    )
+
+
+def answer_bad_request(
+    detail: str,
+    status: HTTPStatus = HTTPStatus.BAD_REQUEST,
+) -> Response:
+    """Answer to a request that is not understood."""
+    return answer_problem(create_refusal('malformed', detail, status))
+
+
+@HANDLERS.on(TargetsChanged)
+def note_targets(task: AdminTask, message: TargetsChanged) -> None:
+    """Take over the targets in force."""
+    task.target_set = message.target_set
+
+
 @PLUGINS.register('admin')
 def create_admin(context: Context) -> AdminTask:
     """Create the admin task."""
--- a/bergamotshunt/tests/test_keeping_machine.py
+++ b/bergamotshunt/tests/test_keeping_machine.py
@@ -111,6 +111,7 @@
         assert state.log.revision >= self.floors[daemon], 'went back'
         self.floors[daemon] = state.log.revision
         self.states[daemon] = state
+        self.now_ms += 1
 
     def changes(self) -> tuple[Change, ...]:
         return read_changes(read(self.data, StoreGet(CHANGES_PREFIX, True)))
@@ -127,7 +128,7 @@
     def accept(self, service: str, number: int, removes: bool) -> None:
         """A change that meets no fault."""
         self.state_change(service, number, removes)
-        self.submit(len(self.messages) - 1, stale=False)
+        self.submit(len(self.messages) - 1, stale=set())
         if self.commits and self.commits[-1].message == self.messages[-1]:
             self.run_commit(len(self.commits) - 1, False, False)
 
@@ -160,20 +161,22 @@
         )
 
     @precondition(lambda self: self.messages)
-    @rule(pick=picks, stale=flags)
-    def submit(self, pick: int, stale: bool) -> None:
-        """A daemon reads and sends a commit; also the repeat of one."""
+    @rule(pick=picks, stale=st.sets(st.sampled_from(('head', 'id', 'targets'))))
+    def submit(self, pick: int, stale: set[str]) -> None:
+        """A daemon reads, not at one moment, and sends a commit; also the
+        repeat of one."""
         message = self.messages[pick % len(self.messages)]
-        data = self.source(stale)
-        head = read_head(read(data, StoreGet(HEAD_KEY)))
+        head = read_head(read(self.source('head' in stale), StoreGet(HEAD_KEY)))
         stored_key = service_key(message.service)
-        service, mod = read_stored_service(read(data, StoreGet(stored_key)))
+        service, mod = read_stored_service(
+            read(self.source('targets' in stale), StoreGet(stored_key))
+        )
         key = submission_key(message.operator, message.submission_id)
-        known = read(data, StoreGet(key))
+        known = read(self.source('id' in stale), StoreGet(key))
         view = SubmissionView(head.revision, service)
         if known:
             record = StoreGet(change_key(int(known[0].content)))
-            earlier = read_first_change(read(data, record))
+            earlier = read_first_change(read(self.data, record))
             view = view._replace(earlier=earlier)
         decision = decide_submission(message, view, 0)
         if isinstance(decision, Repeated):
@@ -197,6 +200,7 @@
         pending = self.commits[index]
         if not is_repeated:
             self.commits.pop(index)
+        self.now_ms += 1
         committed = CODEC.decode_committed(self.data.run(pending.body))
         if committed.won:
             seen = pending.message.expected_revision
@@ -334,6 +338,7 @@
         for state in self.states.values():
             revision = state.log.revision
             assert state.log.target_set == self.fold(revision)
+            assert state.contacts.loaded or not revision
 
     @invariant()
     def a_confirmed_revision_was_the_newest(self) -> None:
--- /dev/null
+++ b/bergamotshunt/tests/test_targets_decisions.py
@@ -0,0 +1,263 @@
+"""Decisions about targets: confirmation, readers, submissions, state."""
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from bergamotshunt.decisions.confirmation import (
+    ConfirmationRules,
+    Contacts,
+    decide_confirmation,
+    needs_platform,
+)
+from bergamotshunt.decisions.keeping import (
+    KeeperState,
+    answer_pull,
+    take_change,
+    take_fetched,
+    take_head,
+    take_learned,
+    take_revision,
+)
+from bergamotshunt.decisions.readers import (
+    choose_peers,
+    choose_readers,
+    count_others,
+    list_present,
+)
+from bergamotshunt.decisions.revisions import (
+    TargetLog,
+    changes_since,
+    hear_change,
+    hear_snapshot,
+)
+from bergamotshunt.decisions.submissions import (
+    Proposed,
+    Repeated,
+    SubmissionView,
+    decide_submission,
+)
+from bergamotshunt.members import Member, MemberStatus
+from bergamotshunt.messages import RevisionHeard, SubmitChange
+from bergamotshunt.targets import Change, ServiceTargets, Target, TargetSet
+from bergamotshunt.targets_messages import (
+    SubmitFailure,
+    SubmitFailureKind,
+    TargetsFetched,
+    TargetsLearned,
+)
+
+RULES = ConfirmationRules(6000, refuse_unconfirmed=False, spread_ms=1000)
+STRICT = RULES._replace(refuse_unconfirmed=True)
+
+
+def targets_of(revision: int) -> ServiceTargets:
+    target = Target('only', weight=float(revision))
+    return ServiceTargets('jar-ledger', (target,), revision=revision)
+
+
+def change_of(revision: int) -> Change:
+    before = targets_of(revision - 1) if revision > 1 else None
+    after = targets_of(revision)
+    identity = f's{revision}'
+    return Change(
+        revision, 'jar-ledger', before, after, 'ana', 'why', identity, 0
+    )
+
+
+def log_at(revision: int) -> TargetLog:
+    log = TargetLog()
+    for number in range(1, revision + 1):
+        log = hear_change(log, change_of(number))
+    return log
+
+
+def state_at(revision: int, confirmed_ms: float = 0) -> KeeperState:
+    contacts = Contacts(loaded=True, confirmed_ms=confirmed_ms)
+    return KeeperState(log_at(revision), contacts)
+
+
+def member(name: str, status: MemberStatus = MemberStatus.ALIVE) -> Member:
+    return Member(name, 1, '127.0.0.1', 1, 1, 'r', 'z', 's', status=status)
+
+
+def test_changes_come_into_force_in_order() -> None:
+    """Guards against a change that is applied over a gap or backwards."""
+    log = log_at(2)
+    early = hear_change(log, change_of(4))
+    assert early.revision == 2
+    assert hear_change(early, change_of(3)).revision == 4
+    assert hear_change(log, change_of(1)) == log
+    far = hear_change(log, change_of(1000))
+    assert not far.pending_by_revision
+
+
+def test_a_snapshot_is_taken_only_if_it_is_newer() -> None:
+    """Guards against targets that revert to an older revision."""
+    log = log_at(3)
+    assert hear_snapshot(log, TargetSet(2, {})) == log
+    newer = hear_snapshot(log, TargetSet(5, {}))
+    assert newer.revision == 5
+    assert changes_since(newer, 4) is None
+
+
+def test_a_pull_is_answered_by_changes_or_a_snapshot() -> None:
+    """Guards against a peer that stays behind or gets too much."""
+    state = state_at(3)
+    assert [one.revision for one in answer_pull(state, 1, 0).changes] == [2, 3]
+    assert answer_pull(state, 2**62, 0).changes == ()
+    everything = answer_pull(state, -1, 0)
+    assert everything.snapshot == (targets_of(3),)
+    assert not answer_pull(KeeperState(), -1, 0).loaded
+    fetched = TargetsFetched(everything, 'd2', 0)
+    assert take_fetched(state_at(1), fetched).log.revision == 3
+
+
+def test_only_the_revision_in_force_is_confirmed() -> None:
+    """Guards against an age that looks younger than it is."""
+    state = state_at(2, confirmed_ms=100)
+    for revision, confirmed_ms in ((1, 100), (2, 4500), (3, 100)):
+        heard = RevisionHeard(revision, 'd2', 500)
+        after = take_revision(state, heard, 5000)
+        assert after.contacts.confirmed_ms == confirmed_ms
+        assert after.contacts.peer_ms == 5000
+    pulled = answer_pull(state_at(2, confirmed_ms=3000), 2, 4000)
+    after = take_fetched(state, TargetsFetched(pulled, 'd2', 5000))
+    assert after.contacts.confirmed_ms == 4000
+
+
+def test_a_stale_answer_of_the_platform_is_no_contact() -> None:
+    """Guards against a lagging replica that keeps a daemon serving."""
+    state = state_at(2, confirmed_ms=100)
+    assert take_head(state, change_of(1), 5000) == state
+    assert take_head(state, change_of(2), 5000).contacts == Contacts(
+        loaded=True, platform_ms=5000, confirmed_ms=5000
+    )
+
+
+def test_a_daemon_knows_that_it_is_behind() -> None:
+    """Guards against a daemon that does not fetch what it heard of."""
+    behind = take_revision(state_at(1), RevisionHeard(3, 'd2', 0), 0)
+    assert behind.is_behind
+    assert behind.wanted == (3, 'd2')
+    assert take_change(state_at(1), change_of(3), 'd3', 0).is_behind
+    caught_up = take_change(behind, change_of(2), 'd2', 0)
+    caught_up = take_change(caught_up, change_of(3), 'd2', 0)
+    assert not caught_up.is_behind
+    assert caught_up.count_behind(frozenset(('d2',))) == 0
+    assert state_at(3).count_behind(frozenset(('d2',))) == 0
+    late = take_revision(caught_up, RevisionHeard(2, 'd4', 0), 0)
+    assert late.count_behind(frozenset(('d2', 'd4'))) == 1
+
+
+def test_learned_targets_confirm_by_their_source() -> None:
+    """Guards against a start from a peer that counts as confirmed now."""
+    learned = TargetsLearned(
+        TargetSet(2, {'jar-ledger': targets_of(2)}), 5000, 1000, False, True
+    )
+    contacts = take_learned(KeeperState(), learned).contacts
+    assert contacts == Contacts(True, None, 5000, 1000)
+
+
+@pytest.mark.parametrize(
+    ('contacts', 'rules', 'now_ms', 'confirmed'),
+    [
+        (Contacts(), RULES, 0, False),
+        (Contacts(True, 0, None, 0, others=0), RULES, 60_000, True),
+        (Contacts(True, 0, None, 0, others=0), STRICT, 60_000, False),
+        (Contacts(True, 0, 0, 0, others=2), RULES, 6000, True),
+        (Contacts(True, 0, 0, 0, others=2), RULES, 6001, False),
+        (Contacts(True, 0, 50_000, 0, others=2), RULES, 55_000, True),
+        (Contacts(True, 0, 50_000, 0, others=2), STRICT, 55_000, False),
+        (Contacts(True, 0, 50_000, 46_000, others=2), STRICT, 54_000, True),
+        (Contacts(True, 50_000, 0, 50_000, others=2), STRICT, 55_000, True),
+    ],
+)
+def test_confirmation(
+    contacts: Contacts,
+    rules: ConfirmationRules,
+    now_ms: float,
+    confirmed: bool,
+) -> None:
+    """Guards against serving without contact, and against refusing with."""
+    decided = decide_confirmation(contacts, rules, now_ms)
+    assert decided.confirmed is confirmed
+    assert bool(decided.detail) is not confirmed
+
+
+def test_only_readers_and_lonely_daemons_read_the_platform() -> None:
+    """Guards against platform calls that grow with the fleet."""
+    contacts = Contacts(True, 0, 9000, 0, others=5)
+    assert needs_platform(contacts, RULES, is_reader=True, now_ms=10_000)
+    assert not needs_platform(contacts, RULES, False, 10_000)
+    assert needs_platform(contacts, RULES, False, 12_000)
+    assert needs_platform(contacts._replace(others=0), RULES, False, 10_000)
+
+
+def test_readers_are_the_same_everywhere_and_few() -> None:
+    """Guards against a zone without readers or with many."""
+    members = [member(f'd{number}') for number in range(30)]
+    members += [member('dead', MemberStatus.DEAD)]
+    foreign = [
+        member(f'f{number}')._replace(availability_zone='other')
+        for number in range(30)
+    ]
+    chosen = choose_readers(members + foreign, 'r', 'z', 2)
+    shuffled = Random(1).sample(members, len(members))
+    assert chosen == choose_readers(shuffled, 'r', 'z', 2)
+    assert len(set(chosen)) == 2
+    assert set(chosen) <= {one.daemon_id for one in members[:30]}
+    remaining = [one for one in members if one.daemon_id != chosen[0]]
+    assert chosen[1] in choose_readers(remaining, 'r', 'z', 2)
+
+
+def test_the_dead_count_as_known_but_are_not_asked() -> None:
+    """Guards against a cut-off daemon that believes itself to be alone."""
+    members = [
+        member('own'),
+        member('d1', MemberStatus.DEAD),
+        member('d2', MemberStatus.LEFT),
+        member('d3', MemberStatus.SUSPECT),
+    ]
+    assert count_others(members, 'own') == 2
+    present = list_present(members, 'own')
+    assert [one.daemon_id for one in present] == ['d3']
+    assert choose_peers(present, 4, Random(1)) == list(present)
+
+
+def submission(**fields: Any) -> SubmitChange:
+    message = SubmitChange('jar-ledger', targets_of(0), 2, 'ben', 'slow', 's9')
+    return message._replace(**fields)
+
+
+def test_submissions() -> None:
+    """Guards against overwriting a change that the operator did not see."""
+    view = SubmissionView(7, targets_of(2), last_change=change_of(2))
+    proposed = decide_submission(submission(), view, 1)
+    assert isinstance(proposed, Proposed)
+    assert proposed.change.revision == 8
+    assert proposed.change.before == targets_of(2)
+    conflict = decide_submission(submission(expected_revision=1), view, 1)
+    assert isinstance(conflict, SubmitFailure)
+    assert conflict.kind is SubmitFailureKind.CONFLICT
+    assert conflict.winner == change_of(2)
+    assert 'ana changed it in revision 2 (why)' in conflict.detail
+
+
+def test_repeats_are_recognised() -> None:
+    """Guards against a repeat that is applied twice or called a conflict."""
+    view = SubmissionView(9, targets_of(9), earlier=change_of(3))
+    same = submission(after=targets_of(3)._replace(revision=0))
+    assert decide_submission(same, view, 1) == Repeated(change_of(3))
+    other = decide_submission(submission(after=None), view, 1)
+    assert isinstance(other, SubmitFailure)
+    assert other.kind is SubmitFailureKind.REUSED
+
+
+def test_removal_of_what_is_absent_is_refused() -> None:
+    """Guards against records of changes that change nothing."""
+    message = submission(after=None, expected_revision=0)
+    refused = decide_submission(message, SubmissionView(2, None), 1)
+    assert isinstance(refused, SubmitFailure)
+    assert refused.kind is SubmitFailureKind.ABSENT
--- /dev/null
+++ b/bergamotshunt/tests/test_targets_fleet.py
@@ -0,0 +1,322 @@
+"""Targets across real tasks, with the platform stand-in over loopback."""
+
+from asyncio import gather, run
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from returns.result import Result, Success
+
+from bergamotshunt.messages import ChangeHeard, SubmitChange
+from bergamotshunt.targets import Change, ServiceTargets, Target
+from bergamotshunt.targets_messages import (
+    ChangeList,
+    ListChanges,
+    PulledTargets,
+    PullTargets,
+    SubmitFailure,
+    SubmitFailureKind,
+)
+from bergamotshunt.tests.targets_fleet import WAIT_S, Fleet, Node
+
+Outcome = Result[Change, SubmitFailure]
+
+
+def check(
+    scenario: Callable[[Fleet], Awaitable[None]],
+    count: int,
+    **options: Any,
+) -> None:
+    async def body() -> None:
+        async with Fleet(count, **options) as fleet:
+            await scenario(fleet)
+
+    run(body())
+
+
+async def submit(
+    node: Node,
+    submission_id: str,
+    revision: int = 0,
+    service: str = 'jar-ledger',
+    operator: str = 'ana',
+) -> Outcome:
+    target = Target('only', path_prefix=f'/{submission_id}')
+    message = SubmitChange(
+        service,
+        ServiceTargets(service, (target,)),
+        revision,
+        operator,
+        'because',
+        submission_id,
+    )
+    outcome: Outcome = await node.post.ask(message, WAIT_S)
+    return outcome
+
+
+async def records(node: Node) -> list[str]:
+    listed: ChangeList = await node.post.ask(ListChanges(0, 1000))
+    assert listed.complete
+    return [change.submission_id for change in listed.changes]
+
+
+def test_a_change_is_in_force_everywhere() -> None:
+    """Guards against a daemon that no push, pull or watch reaches."""
+
+    async def scenario(fleet: Fleet) -> None:
+        change = (await submit(fleet.nodes[3], 's1')).unwrap()
+        reached = await gather(
+            *(node.wait_for_revision(change.revision) for node in fleet.nodes)
+        )
+        assert all(
+            target_set.by_service['jar-ledger'] == change.after
+            for target_set in reached
+        )
+        assert fleet.stand_in.calls['txn'] == 1
+
+    check(scenario, 12)
+
+
+def test_a_lost_answer_is_not_a_second_change() -> None:
+    """Guards against a write that is repeated because its answer is lost."""
+
+    async def scenario(fleet: Fleet) -> None:
+        node = fleet.nodes[0]
+        fleet.stand_in.set_faults(lose_answers=1)
+        first = await submit(node, 's1')
+        assert fleet.stand_in.calls['lost'] == 1
+        again = await submit(fleet.nodes[1], 's1')
+        assert first == again
+        assert first.unwrap().revision == 1
+        assert await records(node) == ['s1']
+
+    check(scenario, 2)
+
+
+def test_an_unknown_outcome_is_told_and_found_by_a_repeat() -> None:
+    """Guards against "not accepted" for a change that was accepted."""
+
+    async def scenario(fleet: Fleet) -> None:
+        node = fleet.nodes[0]
+        await node.wait_for_revision(0)
+        fleet.stand_in.set_faults(lose_answers=1, down_after_loss='closed')
+        outcome = await submit(node, 's1')
+        assert outcome.failure().kind is SubmitFailureKind.UNKNOWN
+        fleet.stand_in.set_faults(down='', down_after_loss='')
+        await node.wait_for_revision(1)
+        repeated = await submit(node, 's1')
+        assert repeated.unwrap().revision == 1
+        assert await records(node) == ['s1']
+
+    check(scenario, 1)
+
+
+def test_of_two_operators_one_wins_and_the_other_learns_who() -> None:
+    """Guards against a change that is overwritten unseen."""
+
+    async def scenario(fleet: Fleet) -> None:
+        outcomes = await gather(
+            submit(fleet.nodes[0], 's1', operator='ana'),
+            submit(fleet.nodes[1], 's2', operator='ben'),
+        )
+        won = [one for one in outcomes if isinstance(one, Success)]
+        lost = [one for one in outcomes if not isinstance(one, Success)]
+        assert len(won) == len(lost) == 1
+        failure = lost[0].failure()
+        assert failure.kind is SubmitFailureKind.CONFLICT
+        assert failure.winner == won[0].unwrap()
+        assert won[0].unwrap().operator in failure.detail
+
+    check(scenario, 2)
+
+
+def test_changes_of_other_services_do_not_conflict() -> None:
+    """Guards against a conflict that the operator did not cause."""
+
+    async def scenario(fleet: Fleet) -> None:
+        outcomes = await gather(
+            *(
+                submit(node, f's{number}', service=f'service-{number}')
+                for number, node in enumerate(fleet.nodes)
+            )
+        )
+        revisions = sorted(one.unwrap().revision for one in outcomes)
+        assert revisions == [1, 2, 3, 4]
+
+    check(scenario, 4)
+
+
+def test_while_the_platform_is_down_the_fleet_serves_and_refuses_changes() -> (
+    None
+):
+    """Guards against an outage of the platform that stops the service."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await gather(
+            *(node.wait_for_confirmation(True) for node in fleet.nodes)
+        )
+        fleet.stand_in.set_faults(down='closed')
+        node = fleet.nodes[0]
+        failure = (await submit(node, 's1')).failure()
+        assert failure.kind is SubmitFailureKind.UNAVAILABLE
+        await wait_for_age(node, 1500)
+        for other in fleet.nodes:
+            assert other.confirmations.mailbox.empty()
+
+    check(scenario, 3, confirm_within_s=0.5)
+
+
+def test_refuse_unconfirmed_stops_the_group_without_platform() -> None:
+    """Guards against serving where the operators chose to refuse."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await gather(
+            *(node.wait_for_confirmation(True) for node in fleet.nodes)
+        )
+        fleet.stand_in.set_faults(down='closed')
+        details = await gather(
+            *(node.wait_for_confirmation(False) for node in fleet.nodes)
+        )
+        assert all('platform' in detail for detail in details)
+        fleet.stand_in.set_faults(down='')
+        await gather(
+            *(node.wait_for_confirmation(True) for node in fleet.nodes)
+        )
+
+    check(scenario, 3, confirm_within_s=0.5, refuse_unconfirmed=True)
+
+
+def test_a_daemon_that_is_cut_off_refuses_until_it_is_back() -> None:
+    """Guards against stale targets behind a cut, and after it heals."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await gather(
+            *(node.wait_for_confirmation(True) for node in fleet.nodes)
+        )
+        node = fleet.nodes[0]
+        fleet.cut(node)
+        fleet.stand_in.set_faults(down='closed')
+        assert 'neither' in await node.wait_for_confirmation(False)
+        fleet.stand_in.set_faults(down='')
+        change = (await submit(fleet.nodes[1], 's1')).unwrap()
+        fleet.cut(node, is_cut=False)
+        await node.wait_for_confirmation(True)
+        await node.wait_for_revision(change.revision)
+        assert node.seen == sorted(node.seen)
+
+    check(scenario, 3, confirm_within_s=0.5)
+
+
+def test_a_lone_daemon_serves_while_the_platform_is_down() -> None:
+    """Guards against an outage that stops a fleet of one."""
+
+    async def scenario(fleet: Fleet) -> None:
+        node = fleet.nodes[0]
+        await node.wait_for_confirmation(True)
+        fleet.stand_in.set_faults(down='closed')
+        await wait_for_age(node, 1500)
+        assert node.confirmations.mailbox.empty()
+
+    check(scenario, 1, confirm_within_s=0.5)
+
+
+def test_a_daemon_without_any_source_does_not_serve() -> None:
+    """Guards against a start that serves without targets."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.stand_in.set_faults(down='closed')
+        node = await fleet.add(('127.0.0.1:1',))
+        await node.wait_for_confirmation(False)
+        while not fleet.stand_in.calls['dropped']:
+            await node.post.ask(PullTargets(0))
+        pulled: PulledTargets = await node.post.ask(PullTargets(0))
+        assert not pulled.loaded
+        assert node.targets.mailbox.empty()
+        fleet.stand_in.set_faults(down='')
+        await node.wait_for_confirmation(True)
+
+    check(scenario, 0)
+
+
+def test_a_daemon_starts_from_a_peer_while_the_platform_is_down() -> None:
+    """Guards against a restart that needs the platform."""
+
+    async def scenario(fleet: Fleet) -> None:
+        peer = fleet.nodes[0]
+        change = (await submit(peer, 's1')).unwrap()
+        await peer.wait_for_revision(1)
+        fleet.stand_in.set_faults(down='closed')
+        node = await fleet.add((address(peer),))
+        learned = await node.wait_for_revision(0)
+        assert learned.revision == 1
+        assert learned.by_service['jar-ledger'] == change.after
+
+    check(scenario, 1)
+
+
+def test_a_start_prefers_a_newer_peer_to_a_stale_platform() -> None:
+    """Guards against a restart that goes back to an older revision."""
+
+    async def scenario(fleet: Fleet) -> None:
+        peer = fleet.nodes[0]
+        await submit(peer, 's1')
+        await peer.wait_for_revision(1)
+        fleet.stand_in.set_faults(stale=True)
+        await submit_on_stale(peer)
+        node = await fleet.add((address(peer),))
+        assert (await node.wait_for_revision(0)).revision == 2
+        assert node.seen[0] == 2
+
+    async def submit_on_stale(peer: Node) -> None:
+        """Let the peer know a change that the platform does not tell."""
+        after = ServiceTargets('catalog', (Target('only'),), revision=2)
+        change = Change(2, 'catalog', None, after, 'ben', '', 's2', 0)
+        peer.post.publish(ChangeHeard(change))
+        await peer.wait_for_revision(2)
+
+    check(scenario, 1)
+
+
+def test_the_audit_trail_is_bounded() -> None:
+    """Guards against records, or ids of submissions, that pile up."""
+
+    async def scenario(fleet: Fleet) -> None:
+        node = fleet.nodes[0]
+        for number in range(13):
+            await submit(node, f's{number}', revision=number)
+        names = [f's{number}' for number in range(3, 13)]
+        assert await records(node) == names
+        ids = [
+            key.rpartition('/')[2]
+            for key in fleet.stand_in.by_key
+            if '/submissions/' in key
+        ]
+        assert sorted(ids) == sorted(names)
+
+    check(scenario, 1, audit_records=10)
+
+
+def test_a_fleet_reads_the_platform_by_its_readers_only() -> None:
+    """Guards against platform calls that grow with the daemons."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await gather(
+            *(node.wait_for_confirmation(True) for node in fleet.nodes)
+        )
+        change = (await submit(fleet.nodes[0], 's1')).unwrap()
+        await gather(
+            *(node.wait_for_revision(change.revision) for node in fleet.nodes)
+        )
+        assert fleet.stand_in.watching <= 2
+
+    check(scenario, 10)
+
+
+def address(node: Node) -> str:
+    return f'127.0.0.1:{node.kernel.ports_by_kind["peers"]}'
+
+
+async def wait_for_age(node: Node, age_ms: int) -> None:
+    """Wait until a daemon's targets have long been unconfirmed."""
+    while node.in_force is None or node.in_force.age_ms < age_ms:
+        await node.post.ask(PullTargets(0))
+        node.in_force = (await node.revisions.get()).message
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -51,12 +51,15 @@
         delay_ms: Time before each call is handled.
         lose_answers: Number of next writes that take effect and whose
             answer is lost.
+        down_after_loss: Value of ``down`` from the moment when an answer is
+            lost.
         stale: Reads answer from the data as of when this was set.
     """
 
     down: str = ''
     delay_ms: float = 0
     lose_answers: int = 0
+    down_after_loss: str = ''
     stale: bool = False
 
 
@@ -195,10 +198,11 @@
             starts = message['type'] == 'http.response.start'
             if starts and scope.get('wrote') and self.faults.lose_answers:
                 left = self.faults.lose_answers - 1
-                self.faults = self.faults._replace(lose_answers=left)
                 self.calls['lost'] += 1
                 lost = True
                 transport.abort()
+                down = self.faults.down_after_loss or self.faults.down
+                self.set_faults(lose_answers=left, down=down)
             if not lost:
                 await send(message)
 
