Put every fault at every step, and judge the seven properties after each

Cause: the properties were tested for a single kill under load; faults at chosen moments of a request, a change of targets and a member's life were not.

Change: `python -m bench.faults` runs a table of faults by steps on a fleet of processes joined by links, with real kills and stops, and writes a report with every cell. After the faults a new lookup and booking must be answered, so that a cell in which everything is refused does not pass.

Ruled out: a duplicating link between a daemon and its server, which share a host; the cells say so. A daemon's gossip port cannot be put behind a link.

--- /dev/null
+++ b/bench/fault_changes.py
@@ -0,0 +1,212 @@
+"""Cells of the fault matrix at the steps of a change of targets."""
+
+from asyncio import create_task, gather, sleep
+from asyncio import Task as AsyncioTask
+from collections.abc import Callable, Coroutine
+from time import monotonic
+from typing import Any, Final
+
+from bench.fault_fleet import FaultFleet
+from bench.fault_judge import describe, judge_budget, judge_targets
+from bench.fault_table import Place, begin_all
+from bench.hosts import Host
+from bench.operators import (
+    NoAdministrationError,
+    Submission,
+    next_share,
+    read_targets,
+    submit,
+)
+from bench.processes import NotReadyError, poll_until
+from bergamotshunt.registries import Registry
+from standins.link import Gate, TcpLink
+
+REACH_S: Final = 4
+IN_FORCE_S: Final = 6
+DWELL_S: Final = 0.1
+TXN: Final = b'/v3/kv/txn'
+TXN_ANSWER: Final = b'"succeeded"'
+PUSH: Final = b'/bergamotshunt/targets'
+
+
+class ChangeRun:
+    """One change on its way through the fleet."""
+
+    def __init__(self, fleet: FaultFleet) -> None:
+        """Plan a change at the first daemon."""
+        self.fleet = fleet
+        self.entry = fleet.hosts[0]
+        self.victim = fleet.hosts[1]
+        self.share = next_share(fleet)
+        self.gates: dict[Gate, Host] = {}
+        self.submitting: AsyncioTask[Submission]
+
+    def hold(self, link: TcpLink, host: Host, way: str, marker: bytes) -> None:
+        """Hold the next matching piece on a link."""
+        self.gates[link.add_gate(way, marker)] = host
+
+    async def begin(self) -> None:
+        """Submit the change.
+
+        Raises:
+            NoAdministrationError: The targets cannot be read.
+        """
+        before = await read_targets(self.fleet, self.entry)
+        if before is None:
+            raise NoAdministrationError('GET /v1/targets gives no targets')
+        self.submitting = create_task(
+            submit(self.fleet, self.entry, self.share, *before)
+        )
+
+    async def wait_held(self) -> None:
+        """Wait until a gate holds something; its host is the victim."""
+
+        async def check() -> bool:
+            for gate, host in self.gates.items():
+                if gate.held.is_set():
+                    self.victim = host
+                    return True
+            return False
+
+        await poll_until(check, REACH_S, 'the change did not reach the step')
+
+
+Reach = Callable[[ChangeRun], Coroutine[Any, Any, None]]
+CHANGE_STEPS: Final[Registry[Reach]] = Registry('step of a change')
+
+
+@CHANGE_STEPS.register('submitted')
+async def reach_submitted(change: ChangeRun) -> None:
+    """Hold the write before it reaches the platform."""
+    change.victim = change.entry
+    link = change.fleet.platform_links[change.entry.name]
+    change.hold(link, change.entry, 'to', TXN)
+    await change.begin()
+    await change.wait_held()
+
+
+@CHANGE_STEPS.register('written')
+async def reach_written(change: ChangeRun) -> None:
+    """Hold the platform's answer to the write."""
+    link = change.fleet.platform_links[change.entry.name]
+    change.hold(link, change.entry, 'from', TXN_ANSWER)
+    await change.begin()
+    await change.wait_held()
+
+
+@CHANGE_STEPS.register('answered')
+async def reach_answered(change: ChangeRun) -> None:
+    """Wait until the operator is answered."""
+    await change.begin()
+    await change.submitting
+    change.victim = change.entry
+
+
+@CHANGE_STEPS.register('read')
+async def reach_read(change: ChangeRun) -> None:
+    """Hold what the platform tells a reader."""
+    for host in change.fleet.hosts[1:]:
+        link = change.fleet.platform_links[host.name]
+        change.hold(link, host, 'from', b'')
+    await change.begin()
+    await change.wait_held()
+
+
+@CHANGE_STEPS.register('relayed')
+async def reach_relayed(change: ChangeRun) -> None:
+    """Hold a push between daemons."""
+    for host in change.fleet.hosts:
+        link = change.fleet.peer_links[host.name]
+        change.hold(link, host, 'to', PUSH)
+    await change.begin()
+    await change.wait_held()
+
+
+@CHANGE_STEPS.register('in force')
+async def reach_in_force(change: ChangeRun) -> None:
+    """Wait until the change is in force everywhere."""
+    await change.begin()
+    submission = await change.submitting
+    await wait_in_force(change.fleet, submission.share)
+
+
+async def wait_in_force(fleet: FaultFleet, share: float) -> None:
+    """Wait until all daemons have a measuring share in force.
+
+    Raises:
+        NotReadyError: Not within the time that is promised.
+    """
+
+    async def check() -> bool:
+        return await read_shares(fleet) == {share}
+
+    await poll_until(check, IN_FORCE_S, f'{share} was not in force')
+
+
+async def read_shares(fleet: FaultFleet) -> set[float]:
+    """Return the measuring shares in force at the daemons."""
+    told = await gather(*(read_targets(fleet, host) for host in fleet.hosts))
+    return {one[1]['measuring_share'] if one else -1 for one in told}
+
+
+async def run_change_cell(
+    fleet: FaultFleet, faults: tuple[str, ...], step: str, _name: str
+) -> dict[str, str]:
+    """Put faults at a step of a change and judge the properties.
+
+    Raises:
+        NoAdministrationError: The daemon does not serve targets.
+        TimeoutError: The step was not reached.
+    """
+    change = ChangeRun(fleet)
+    raced_before = len(fleet.submissions)
+    try:
+        await CHANGE_STEPS.get(step)(change)
+        place = Place(fleet, change.entry, change.victim)
+        await begin_all(faults, place)
+        await sleep(DWELL_S)
+    finally:
+        fleet.mend_gates()
+    submission = await change.submitting
+    raced = fleet.submissions[raced_before:]
+    await fleet.restore()
+    found = {'targets': await judge_change(fleet, submission, raced)}
+    found['measuring budget'] = await judge_budget(fleet)
+    found['targets'] = found['targets'] or await judge_targets(fleet)
+    return found
+
+
+async def judge_change(
+    fleet: FaultFleet, submission: Submission, raced: list[Submission]
+) -> str:
+    """Judge property 7 after the faults have ended.
+
+    An accepted change is in force everywhere; a refused one is not; one
+    without an answer is the same everywhere. Of two that raced from one
+    revision at most one was accepted, and the later one is in force.
+    """
+    accepted = [one.share for one in raced if one.accepted]
+    if len(accepted) > 1:
+        return f'two changes of the same revision were accepted: {raced}'
+    unknown = {one.share for one in (*raced, submission) if not one.status}
+    if submission.accepted:
+        accepted.append(submission.share)
+    started_at = monotonic()
+
+    async def check() -> bool:
+        shares = await read_shares(fleet)
+        if len(shares) != 1:
+            return False
+        return not accepted or bool(shares & {*accepted, *unknown})
+
+    try:
+        await poll_until(check, IN_FORCE_S, 'the change was not in force')
+    except NotReadyError:
+        shares = await read_shares(fleet)
+        took_s = monotonic() - started_at
+        return f'after {took_s:.1f} s {shares} with {submission}'
+    refused = submission.status and not submission.accepted
+    shares = await read_shares(fleet)
+    if refused and submission.share in shares:
+        return describe(f'refused, yet in force: {submission}')
+    return ''
--- /dev/null
+++ b/bench/fault_fleet.py
@@ -0,0 +1,158 @@
+"""A small fleet whose processes are joined by links."""
+
+from asyncio import gather
+from pathlib import Path
+from typing import Any, Final
+
+from aiohttp import ClientError
+
+from bench.fleet import Fleet
+from bench.hosts import Host
+from bench.processes import IP, poll_until
+from bench.shapes import SMALL
+from standins.link import TcpLink
+
+SLOTS: Final = 2
+DEADLINE_MS: Final = 1500
+RECOVER_S: Final = 25
+SETTINGS: Final[dict[str, dict[str, Any]]] = {
+    'calls': {
+        'default_deadline_ms': DEADLINE_MS,
+        'chooser': 'least-in-flight',
+        'limiter': 'fixed',
+    },
+    'backend_server': {'slots': SLOTS},
+    'daemon': {'drain_timeout_s': 5},
+}
+
+
+class FaultFleet(Fleet):
+    """Three backend servers; links to peers, servers and the platform."""
+
+    def __init__(self, seed: int) -> None:
+        """Plan the fleet and its links."""
+        super().__init__(SMALL, seed, SETTINGS)
+        # Newest revision that a daemon had in force.
+        self.newest_revision = 0
+        self.peer_links: dict[str, TcpLink] = {}
+        self.server_links: dict[str, TcpLink] = {}
+        self.platform_links: dict[str, TcpLink] = {}
+        for host in self.hosts:
+            ports = host.ports_by_kind
+            self.peer_links[host.name] = TcpLink(ports['peers'])
+            self.server_links[host.name] = TcpLink(ports['server'])
+            self.platform_links[host.name] = TcpLink(self.platform_port)
+
+    @property
+    def links(self) -> list[TcpLink]:
+        """Return all links."""
+        return [
+            *self.peer_links.values(),
+            *self.server_links.values(),
+            *self.platform_links.values(),
+        ]
+
+    async def start(self) -> None:
+        """Open the links, then start the processes."""
+        await gather(*(link.open() for link in self.links))
+        await super().start()
+
+    async def __aexit__(self, *error: object) -> None:
+        """End all processes, then close the links."""
+        self.mend()
+        await super().__aexit__(*error)
+        await gather(*(link.close() for link in self.links))
+
+    def daemon_arguments(self, host: Host, settings: Path) -> list[str]:
+        """Return the arguments of a daemon behind a link."""
+        port = self.peer_links[host.name].port
+        return ['-m', 'bench.linked_daemon', str(settings), str(port)]
+
+    def describe_settings(self, host: Host) -> dict[str, dict[str, Any]]:
+        """Put links between a daemon and what it talks to."""
+        sections = super().describe_settings(host)
+        server_port = self.server_links[host.name].port
+        platform_port = self.platform_links[host.name].port
+        sections['backend_server']['url'] = f'http://{IP}:{server_port}'
+        sections['platform']['urls'] = f'http://{IP}:{platform_port}'
+        peers = (link.port for link in self.peer_links.values())
+        sections['daemon']['known_peers'] = ', '.join(
+            f'{IP}:{port}' for port in peers
+        )
+        return sections
+
+    def server_arguments(self, host: Host, number: int) -> list[str]:
+        """Return the arguments of a server with few slots."""
+        return [*super().server_arguments(host, number), f'--slots={SLOTS}']
+
+    def mend(self) -> None:
+        """End all faults of links and open all gates."""
+        for link in self.links:
+            link.change_faults(
+                cut_to=False, cut_from=False, delay_ms=0, duplicate=False
+            )
+            link.open_gates()
+
+    def mend_gates(self) -> None:
+        """Let everything pass that a gate holds."""
+        for link in self.links:
+            link.open_gates()
+
+    async def set_platform(self, document: dict[str, Any]) -> None:
+        """Set faults of the platform stand-in."""
+        url = f'http://{IP}:{self.platform_control_port}/control'
+        async with self.session.post(url, json=document) as response:
+            response.raise_for_status()
+
+    async def restore(self) -> None:
+        """Mend everything and wait until all daemons serve again.
+
+        Raises:
+            NotReadyError: Some daemon did not come back.
+        """
+        self.mend()
+        await self.set_platform(
+            {'down': '', 'delay_ms': 0, 'lose_answers': 0, 'stale': False}
+        )
+        for host in self.hosts:
+            for child in (host.server, host.daemon):
+                child.resume()
+                if child.is_ending:
+                    await child.end()
+                if not child.is_running:
+                    await child.start()
+        await gather(*(self.heal_server(host) for host in self.hosts))
+        await self.wait_ready()
+        for host in self.hosts:
+            status = await self.read_status(host)
+            if status is not None:
+                self.newest_revision = max(
+                    self.newest_revision, status['targets']['revision']
+                )
+
+    async def heal_server(self, host: Host) -> None:
+        """End all faults of one backend server."""
+
+        async def check() -> bool:
+            try:
+                await self.order(host, '/drain', {'draining': False})
+                await self.order(host, '/faults', NO_FAULTS)
+                await self.order(host, '/cold', {'cold_s': 0, 'factor': 1})
+            except (ClientError, TimeoutError):
+                return False
+            return True
+
+        await poll_until(check, RECOVER_S, f'{host.name}-server')
+
+
+NO_FAULTS: Final = {
+    'straggle': 1,
+    'freeze': False,
+    'fail_fast': 0,
+    'cut_short': 0,
+    'late_ms': 0,
+    'refuse': False,
+    'foreign': 0,
+    'shed': 0,
+    'health': 'true',
+}
--- /dev/null
+++ b/bench/fault_life.py
@@ -0,0 +1,159 @@
+"""Cells of the fault matrix at the steps of a member's life."""
+
+from asyncio import create_task, sleep
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from bench.fault_fleet import FaultFleet
+from bench.fault_judge import (
+    describe,
+    judge_budget,
+    judge_calls,
+    judge_targets,
+)
+from bench.fault_table import Place, begin_all
+from bench.hosts import Host
+from bench.load import Loader, Outcome
+from bench.plans import Call, plan_calls
+from bench.processes import poll_until
+from bench.shapes import SMALL
+from bergamotshunt.registries import Registry
+
+LOAD_S: Final = 1.2
+RATE: Final = 0.5
+DRAIN_S: Final = 3
+REACH_S: Final = 10
+DWELL_S: Final = 0.2
+SYNC: Final = b'/bergamotshunt/sync'
+PROBES: Final = 12
+
+Reach = Callable[[FaultFleet, Host], Coroutine[Any, Any, None]]
+LIFE_STEPS: Final[Registry[Reach]] = Registry("step of a member's life")
+
+
+@LIFE_STEPS.register('announce')
+async def reach_announce(fleet: FaultFleet, host: Host) -> None:
+    """Start a daemon again and do not wait for it."""
+    await host.daemon.kill()
+    await host.daemon.start()
+
+
+@LIFE_STEPS.register('join')
+async def reach_join(fleet: FaultFleet, host: Host) -> None:
+    """Start a daemon and hold its first exchange of members."""
+    await host.daemon.kill()
+    gates = [
+        fleet.peer_links[other.name].add_gate('to', SYNC)
+        for other in fleet.hosts
+        if other is not host
+    ]
+    await host.daemon.start()
+
+    async def check() -> bool:
+        return any(gate.held.is_set() for gate in gates)
+
+    await poll_until(check, REACH_S, 'no exchange of members')
+
+
+@LIFE_STEPS.register('serve')
+async def reach_serve(fleet: FaultFleet, _host: Host) -> None:
+    """Serve."""
+    await fleet.wait_ready()
+
+
+@LIFE_STEPS.register('drain')
+async def reach_drain(fleet: FaultFleet, host: Host) -> None:
+    """Let the server drain, and wait until no work is sent to it."""
+    await fleet.order(host, '/drain', {'draining': True})
+    await sleep(DRAIN_S)
+
+
+@LIFE_STEPS.register('leave')
+async def reach_leave(_fleet: FaultFleet, host: Host) -> None:
+    """Ask the daemon to end."""
+    host.daemon.terminate()
+
+
+@LIFE_STEPS.register('rejoin')
+async def reach_rejoin(fleet: FaultFleet, host: Host) -> None:
+    """End the daemon, wait until it left, and start it again."""
+    await host.daemon.end()
+    other = next(one for one in fleet.hosts if one is not host)
+
+    async def check() -> bool:
+        status = await fleet.read_status(other)
+        return status is not None and not is_serving(status, host.name)
+
+    await poll_until(check, REACH_S, f'{host.name} did not leave')
+    await host.daemon.start()
+
+
+def is_serving(status: dict[str, Any], name: str) -> bool:
+    """Tell whether a daemon sends new work to a member."""
+    return any(
+        member['daemon_id'] == name
+        and member['server_state'] == 1
+        and member['status'] <= 1
+        for member in status['members']
+    )
+
+
+async def run_life_cell(
+    fleet: FaultFleet, faults: tuple[str, ...], step: str, name: str
+) -> dict[str, str]:
+    """Put faults at a step of a member's life, under a light load.
+
+    Raises:
+        TimeoutError: The step was not reached.
+    """
+    host = fleet.hosts[2]
+    entries = fleet.hosts[:2]
+    calls = [
+        call._replace(request_id=f'{name}-{call.request_id}')
+        for call in plan_calls(SMALL, LOAD_S, 1, {'balance': RATE})
+    ]
+    calls = [
+        call._replace(booking=call.booking and f'{name}-{call.booking}')
+        for call in calls
+    ]
+
+    def route(call: Call) -> str:
+        entry = entries[call.entry % len(entries)]
+        return f'{entry.url("callers")}/{call.kind.service}'
+
+    loading = create_task(Loader(route).run(calls))
+    found: dict[str, str] = {}
+    try:
+        await LIFE_STEPS.get(step)(fleet, host)
+        if step == 'drain':
+            found['drain'] = await judge_drain(fleet, host, name)
+        await begin_all(faults, Place(fleet, entries[0], host))
+        await sleep(DWELL_S)
+    finally:
+        fleet.mend_gates()
+        outcomes: list[Outcome] = await loading
+    await fleet.restore()
+    found |= judge_calls(fleet, outcomes)
+    found['measuring budget'] = await judge_budget(fleet)
+    found['targets'] = await judge_targets(fleet)
+    return found
+
+
+async def judge_drain(fleet: FaultFleet, host: Host, name: str) -> str:
+    """Judge that a draining server receives no new work."""
+    before = (await fleet.judge(host))['received']
+    plan = plan_calls(SMALL, 1, 2)[:PROBES]
+    calls = [
+        call._replace(at_s=0, request_id=f'{name}-drain-{number}', booking='')
+        for number, call in enumerate(plan)
+        if call.kind.method == 'GET'
+    ]
+    entry = fleet.hosts[0]
+    base = f'{entry.url("callers")}/{entry.service}'
+    await Loader(lambda _call: base).run(calls)
+    after = (await fleet.judge(host))['received']
+    return describe(
+        f'{after - before} requests {DRAIN_S} s after the drain began'
+        if after > before
+        else ''
+    )
--- /dev/null
+++ b/bench/fault_table.py
@@ -0,0 +1,195 @@
+"""The faults of the matrix; each is applied to a running fleet.
+
+``FaultFleet.restore`` ends them all, so a fault only has to begin.
+"""
+
+from asyncio import gather, sleep
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, NamedTuple
+
+from bench.fault_fleet import FaultFleet
+from bench.hosts import Host
+from bench.operators import race
+from bergamotshunt.registries import Registry
+
+PAUSE_S: Final = 0.8
+DELAY_MS: Final = 150
+STRAGGLE: Final = 20
+
+
+class Place(NamedTuple):
+    """Where a fault happens.
+
+    Attributes:
+        fleet: The fleet.
+        entry: Host whose daemon the caller or operator talks to.
+        victim: Host that holds the request, or the member concerned.
+    """
+
+    fleet: FaultFleet
+    entry: Host
+    victim: Host
+
+
+Begin = Callable[[Place], Coroutine[Any, Any, None]]
+
+
+class Fault(NamedTuple):
+    """A fault of the matrix.
+
+    Attributes:
+        begin: Begins it.
+        part: What fails: ``server``, ``daemon``, ``link``, ``platform``
+            or ``operators``.
+        drains: Whether running requests have to be answered.
+    """
+
+    begin: Begin
+    part: str
+    drains: bool = False
+
+
+FAULTS: Final[Registry[Fault]] = Registry('fault')
+
+
+def fault(
+    name: str, part: str, *, drains: bool = False
+) -> Callable[[Begin], Begin]:
+    """Return a decorator that registers a fault."""
+
+    def decorator(begin: Begin) -> Begin:
+        FAULTS.register(name)(Fault(begin, part, drains))
+        return begin
+
+    return decorator
+
+
+def register_server_fault(name: str, **changes: Any) -> None:
+    """Register a fault that the server stand-in injects."""
+
+    @fault(name, 'server')
+    async def begin(place: Place) -> None:
+        await place.fleet.order(place.victim, '/faults', changes)
+
+
+register_server_fault('server straggles', straggle=STRAGGLE)
+register_server_fault('server fails fast', fail_fast=1)
+register_server_fault('server sheds', shed=1)
+register_server_fault('server answers late', late_ms=600)
+register_server_fault('server cuts answers short', cut_short=1)
+register_server_fault("server gives another's answer", foreign=1)
+register_server_fault('server refuses connections', refuse=True)
+
+
+@fault('server freezes', 'server')
+async def freeze_server(place: Place) -> None:
+    """Stop the server's process; it wakes after the pause."""
+    place.victim.server.stop()
+
+
+@fault('server is killed', 'server')
+async def kill_server(place: Place) -> None:
+    """Kill the server's process."""
+    await place.victim.server.kill()
+
+
+@fault('server drains', 'server', drains=True)
+async def drain_server(place: Place) -> None:
+    """Let the server refuse new work and finish what runs."""
+    await place.fleet.order(place.victim, '/drain', {'draining': True})
+
+
+@fault('server starts cold', 'server')
+async def start_server_cold(place: Place) -> None:
+    """Slow the server down as after a start."""
+    await place.fleet.order(place.victim, '/cold', {'cold_s': 5, 'factor': 20})
+
+
+@fault('daemon is killed', 'daemon')
+async def kill_daemon(place: Place) -> None:
+    """Kill the daemon beside the server."""
+    await place.victim.daemon.kill()
+
+
+@fault('entry daemon is killed', 'daemon')
+async def kill_entry(place: Place) -> None:
+    """Kill the daemon that the caller talks to."""
+    await place.entry.daemon.kill()
+
+
+@fault('daemon is frozen and woken', 'daemon')
+async def freeze_daemon(place: Place) -> None:
+    """Stop the daemon beside the server and wake it after the pause."""
+    place.victim.daemon.stop()
+    await sleep(PAUSE_S)
+    place.victim.daemon.resume()
+
+
+@fault('daemon is restarted', 'daemon', drains=True)
+async def restart_daemon(place: Place) -> None:
+    """Ask the daemon to end, without waiting for it."""
+    place.victim.daemon.terminate()
+
+
+def register_link_fault(name: str, kind: str, **changes: Any) -> None:
+    """Register a fault of the links of the victim."""
+
+    @fault(name, 'link')
+    async def begin(place: Place) -> None:
+        links = getattr(place.fleet, f'{kind}_links')
+        links[place.victim.name].change_faults(**changes)
+
+
+LINK_NAMES: Final = {
+    'peer': 'link between daemons',
+    'server': 'link to the server',
+    'platform': 'link to the platform',
+}
+for _kind, _name in LINK_NAMES.items():
+    register_link_fault(f'{_name} cut towards', _kind, cut_to=True)
+    register_link_fault(f'{_name} cut back', _kind, cut_from=True)
+    register_link_fault(f'{_name} delayed', _kind, delay_ms=DELAY_MS)
+    register_link_fault(f'{_name} duplicates', _kind, duplicate=True)
+
+
+@fault('answers out of order', 'link')
+async def reorder(place: Place) -> None:
+    """Delay the answers of the victim past those of later requests."""
+    links = place.fleet.server_links
+    links[place.victim.name].change_faults(delay_ms=DELAY_MS)
+    await place.fleet.order(place.victim, '/faults', {'late_ms': 200})
+
+
+def register_platform_fault(name: str, **changes: Any) -> None:
+    """Register a fault of the platform stand-in."""
+
+    @fault(name, 'platform')
+    async def begin(place: Place) -> None:
+        await place.fleet.set_platform(changes)
+
+
+register_platform_fault('platform down', down='refused')
+register_platform_fault('platform slow', delay_ms=800)
+register_platform_fault('platform loses an answer', lose_answers=1)
+register_platform_fault('platform stale', stale=True)
+
+
+@fault('lease lapses in a pause', 'platform')
+async def expire_leases(place: Place) -> None:
+    """Let all leases lapse while the daemon is stopped."""
+    place.victim.daemon.stop()
+    await place.fleet.set_platform({'expire_leases': True})
+    await sleep(PAUSE_S / 2)
+    place.victim.daemon.resume()
+
+
+@fault('two operators race', 'operators')
+async def race_operators(place: Place) -> None:
+    """Submit two changes of the same revision at two daemons."""
+    others = [host for host in place.fleet.hosts if host is not place.victim]
+    await race(place.fleet, others[0], others[1])
+
+
+async def begin_all(names: tuple[str, ...], place: Place) -> None:
+    """Begin several faults together."""
+    await gather(*(FAULTS.get(name).begin(place) for name in names))
--- /dev/null
+++ b/bench/faults.py
@@ -0,0 +1,183 @@
+"""Fault matrix: ``python -m bench.faults``; writes docs/faults.md."""
+
+from asyncio import run, timeout
+from collections import Counter
+from pathlib import Path
+from sys import exit as exit_process
+from time import monotonic
+from typing import Final, NamedTuple
+
+from cyclopts import App
+
+from bench.fault_fleet import FaultFleet
+from bench.fault_matrix import TRACKS, MatrixCell, plan_cells, plan_ci_cells
+from bench.fault_report import write_report
+from bench.operators import NoAdministrationError
+from bench.processes import NotReadyError
+
+CELL_LIMIT_S: Final = 60
+PASSED: Final = 'passed'
+FAILED: Final = 'failed'
+NOT_RUN: Final = 'not run'
+NOT_POSSIBLE: Final = 'cannot be'
+
+app = App(name='bench.faults', help='Run the fault matrix.')
+
+
+class CellResult(NamedTuple):
+    """Result of one cell.
+
+    Attributes:
+        cell: The cell.
+        status: ``passed``, ``failed``, ``not run`` or ``cannot be``.
+        checked: Properties that were judged.
+        detail: Reason or findings.
+        took_s: Time it took.
+    """
+
+    cell: MatrixCell
+    status: str
+    checked: tuple[str, ...] = ()
+    detail: str = ''
+    took_s: float = 0
+
+
+class MatrixRun:
+    """Runs cells one after the other on a fleet that is kept."""
+
+    def __init__(self, seed: int) -> None:
+        """Create a run without a fleet."""
+        self.seed = seed
+        self.fleet: FaultFleet | None = None
+        self.number = 0
+        self.results: list[CellResult] = []
+
+    async def run_all(self, cells: list[MatrixCell], budget_s: float) -> None:
+        """Run all cells, as far as the time allows."""
+        end_at = monotonic() + budget_s
+        try:
+            for cell in cells:
+                result = CellResult(cell, NOT_POSSIBLE, detail=cell.reason)
+                if not cell.reason:
+                    result = await self.run_before(cell, end_at)
+                self.results.append(result)
+                print_result(result)
+        finally:
+            await self.drop_fleet()
+
+    async def run_before(self, cell: MatrixCell, end_at: float) -> CellResult:
+        """Run a cell unless the time is over."""
+        if monotonic() > end_at:
+            return CellResult(cell, NOT_RUN, detail='the time was over')
+        started_at = monotonic()
+        result = await self.run_cell(cell)
+        return result._replace(took_s=monotonic() - started_at)
+
+    async def run_cell(self, cell: MatrixCell) -> CellResult:
+        """Run one cell; a fleet that does not recover is replaced."""
+        self.number += 1
+        name = f'cell{self.number}'
+        try:
+            async with timeout(CELL_LIMIT_S):
+                fleet = await self.get_fleet()
+                found = await TRACKS[cell.track].run(
+                    fleet, cell.faults, cell.step, name
+                )
+        except NoAdministrationError as error:
+            return CellResult(cell, NOT_RUN, detail=str(error))
+        except Exception as error:
+            detail = f'{type(error).__name__}: {error}'.split('\n')[0]
+            await self.recover()
+            is_unreached = 'reach the step' in detail
+            status = NOT_RUN if is_unreached else FAILED
+            return CellResult(cell, status, detail=detail)
+        failed = {name: text for name, text in found.items() if text}
+        detail = '; '.join(f'{name}: {text}' for name, text in failed.items())
+        status = FAILED if failed else PASSED
+        return CellResult(cell, status, tuple(sorted(found)), detail)
+
+    async def get_fleet(self) -> FaultFleet:
+        """Return the running fleet, or start one."""
+        if self.fleet is None:
+            fleet = FaultFleet(self.seed)
+            await fleet.__aenter__()
+            self.fleet = fleet
+        return self.fleet
+
+    async def recover(self) -> None:
+        """Restore the fleet, or end it."""
+        if self.fleet is None:
+            return
+        try:
+            async with timeout(CELL_LIMIT_S):
+                await self.fleet.restore()
+        except (OSError, NotReadyError, TimeoutError):
+            await self.drop_fleet()
+
+    async def drop_fleet(self) -> None:
+        """End the fleet."""
+        if self.fleet is not None:
+            await self.fleet.__aexit__()
+            self.fleet = None
+
+
+def print_result(result: CellResult) -> None:
+    """Print one line for a cell that ran."""
+    if result.status != NOT_POSSIBLE:
+        cell = result.cell
+        faults = ' + '.join(cell.faults)
+        print(
+            f'{result.status:8} {result.took_s:5.1f} s {cell.track}: '
+            f'{faults} at {cell.step} {result.detail}',
+            flush=True,
+        )
+
+
+@app.default
+def main(
+    *,
+    part: str = 'all',
+    seed: int = 1,
+    budget_s: float = 840,
+    track: list[str] | None = None,
+    step: list[str] | None = None,
+    fault: list[str] | None = None,
+    out: Path | None = None,
+) -> None:
+    """Run the matrix and write the report.
+
+    Args:
+        part: ``all``, or ``ci`` for the fixed part of the CI.
+        seed: Seed of the stand-ins.
+        budget_s: Cells that begin later are reported as not run.
+        track: Only these: request, change, life.
+        step: Only these steps.
+        fault: Only cells with one of these faults.
+        out: Report; docs/faults.md by default for the whole matrix.
+    """
+    cells = plan_ci_cells() if part == 'ci' else plan_cells()
+    cells = [
+        cell
+        for cell in cells
+        if (not track or cell.track in track)
+        and (not step or cell.step in step)
+        and (not fault or set(fault) & set(cell.faults))
+    ]
+    is_whole = part == 'all' and not (track or step or fault)
+    if out is None and is_whole:
+        out = Path('docs/faults.md')
+    matrix = MatrixRun(seed)
+    started_at = monotonic()
+    run(matrix.run_all(cells, budget_s))
+    took_s = monotonic() - started_at
+    if out is not None:
+        command = f'python -m bench.faults --part {part} --seed {seed}'
+        report = write_report(matrix.results, command, took_s)
+        out.write_text(report, encoding='utf-8')
+    counts = Counter(result.status for result in matrix.results)
+    print(f'{dict(counts)} in {took_s:.0f} s')
+    exit_process(1 if counts[FAILED] else 0)
+
+
+if __name__ == '__main__':
+    app()
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -2,6 +2,7 @@
 
 from asyncio import gather
 from base64 import b64encode
+from collections import Counter
 from configparser import ConfigParser
 from http import HTTPStatus
 from json import dumps
@@ -12,6 +13,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from msgspec.json import encode
 
+from bench.hosts import Host
 from bench.processes import IP, Child, NotReadyError, Ports, poll_until
 from bench.shapes import Shape
 
@@ -25,34 +27,6 @@
 SERVING: Final = 1
 
 
-class Host:
-    """A backend server and its daemon, each a process.
-
-    Attributes:
-        name: Name of the server and of its daemon.
-        service: Service of the server.
-        zone: Availability zone.
-        ports_by_kind: ``server``, ``control``, ``callers``, ``peers``,
-            ``admin`` and ``gossip``.
-    """
-
-    def __init__(
-        self, name: str, service: str, zone: str, ports: Ports
-    ) -> None:
-        """Reserve the ports; nothing is started."""
-        self.name = name
-        self.service = service
-        self.zone = zone
-        kinds = ('server', 'control', 'callers', 'peers', 'admin', 'gossip')
-        self.ports_by_kind = {kind: ports.reserve() for kind in kinds}
-        self.server: Child
-        self.daemon: Child
-
-    def url(self, kind: str) -> str:
-        """Return the base URL of one of its ports."""
-        return f'http://{IP}:{self.ports_by_kind[kind]}'
-
-
 class Fleet:
     """All processes of a deployment.
 
@@ -77,6 +51,9 @@
         self.platform_control_port = self.ports.reserve()
         self.hosts = self.plan_hosts()
         self.children: list[Child] = []
+        # What operators submitted, and a number for the next change.
+        self.changes = 0
+        self.submissions: list[Any] = []
         self.session: ClientSession
 
     def plan_hosts(self) -> list[Host]:
@@ -131,7 +108,7 @@
             )
             path = self.write_settings(host)
             host.daemon = self.add_child(
-                host.name, ['-m', 'bergamotshunt', 'daemon', str(path)]
+                host.name, self.daemon_arguments(host, path)
             )
         await self.platform.start()
         await gather(*(host.server.start() for host in self.hosts))
@@ -159,8 +136,27 @@
             f'--port={host.ports_by_kind["server"]}',
             f'--control-port={host.ports_by_kind["control"]}',
             f'--seed={self.seed * 1000 + number}',
+            f'--journal={self.folder / host.name}.runs',
         ]
 
+    def daemon_arguments(self, _host: Host, settings: Path) -> list[str]:
+        """Return the arguments of a daemon."""
+        return ['-m', 'bergamotshunt', 'daemon', str(settings)]
+
+    def read_journals(self) -> dict[str, Any]:
+        """Count the runs of all servers, with those of killed processes."""
+        bookings, requests = Counter[str](), Counter[str]()
+        for path in self.folder.glob('*.runs'):
+            for line in path.read_text().splitlines():
+                booking, _, request_id = line.partition('\t')
+                requests[request_id] += 1
+                if booking:
+                    bookings[booking] += 1
+        return {
+            'executions_by_key': bookings,
+            'runs_by_request_id': requests,
+        }
+
     def describe_settings(self, host: Host) -> dict[str, dict[str, Any]]:
         """Return the settings of one daemon by section."""
         peers = (f'{IP}:{peer.ports_by_kind["peers"]}' for peer in self.hosts)
--- /dev/null
+++ b/bench/hosts.py
@@ -0,0 +1,31 @@
+"""Hosts of a fleet: a backend server with its daemon."""
+
+from bench.processes import IP, Child, Ports
+
+
+class Host:
+    """A backend server and its daemon, each a process.
+
+    Attributes:
+        name: Name of the server and of its daemon.
+        service: Service of the server.
+        zone: Availability zone.
+        ports_by_kind: ``server``, ``control``, ``callers``, ``peers``,
+            ``admin`` and ``gossip``.
+    """
+
+    def __init__(
+        self, name: str, service: str, zone: str, ports: Ports
+    ) -> None:
+        """Reserve the ports; nothing is started."""
+        self.name = name
+        self.service = service
+        self.zone = zone
+        kinds = ('server', 'control', 'callers', 'peers', 'admin', 'gossip')
+        self.ports_by_kind = {kind: ports.reserve() for kind in kinds}
+        self.server: Child
+        self.daemon: Child
+
+    def url(self, kind: str) -> str:
+        """Return the base URL of one of its ports."""
+        return f'http://{IP}:{self.ports_by_kind[kind]}'
--- /dev/null
+++ b/bench/linked_daemon.py
@@ -0,0 +1,35 @@
+"""A daemon whose peers reach it through a link.
+
+Peers learn the port of the link instead of the daemon's own one.
+"""
+
+from asyncio import Event, create_task, get_running_loop, run, wait
+from pathlib import Path
+from signal import SIGINT, SIGTERM
+from sys import argv
+
+from bergamotshunt.daemon import create_kernel
+from bergamotshunt.log import configure_log
+from bergamotshunt.messages import PortBound
+from bergamotshunt.settings import Settings, read_settings
+
+
+async def run_linked(settings: Settings, peers_port: int) -> None:
+    """Run until SIGTERM, then drain, as ``bergamotshunt daemon`` does."""
+    configure_log(settings.daemon.log_level)
+    stopping = Event()
+    for number in (SIGTERM, SIGINT):
+        get_running_loop().add_signal_handler(number, stopping.set)
+    kernel = create_kernel(settings)
+    await kernel.start()
+    kernel.context.post.publish(PortBound('peers', peers_port))
+    await wait(
+        (create_task(stopping.wait()), create_task(kernel.failed.wait())),
+        return_when='FIRST_COMPLETED',
+    )
+    await kernel.drain(settings.daemon.drain_timeout_s)
+    await kernel.stop()
+
+
+if __name__ == '__main__':
+    run(run_linked(read_settings(Path(argv[1])).unwrap(), int(argv[2])))
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -61,9 +61,11 @@
         self.arguments = arguments
         self.log_path = folder / f'{name}.log'
         self.process: Process | None = None
+        self.is_ending = False
 
     async def start(self) -> None:
         """Start the process; its output is appended to the log file."""
+        self.is_ending = False
         with self.log_path.open('ab') as log:
             self.process = await create_subprocess_exec(
                 executable,
@@ -93,6 +95,11 @@
         """Let a stopped process run."""
         self.signal(SIGCONT)
 
+    def terminate(self) -> None:
+        """Ask the process to end, without waiting."""
+        self.is_ending = True
+        self.signal(SIGTERM)
+
     async def kill(self) -> None:
         """End the process at once."""
         self.signal(SIGKILL)
--- /dev/null
+++ b/bench/raw_call.py
@@ -0,0 +1,102 @@
+"""A caller that sends its request in parts."""
+
+from asyncio import Event, open_connection, timeout
+from typing import Any, Final
+
+from httptools import HttpParserError, HttpResponseParser
+
+from bench.load import Outcome, check_answer
+from bench.plans import Call
+from bench.processes import IP
+
+READ_BYTES: Final = 65_536
+PARTS: Final = ('whole', 'half head', 'half body')
+
+
+class AnswerParser:
+    """Collects an answer (callbacks of httptools)."""
+
+    def __init__(self) -> None:
+        """Start before the first byte."""
+        self.headers: dict[str, str] = {}
+        self.body = b''
+        self.complete = False
+        self.parser: Any = HttpResponseParser(self)
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Collect a header."""
+        self.headers[name.decode().lower()] = text.decode()
+
+    def on_body(self, piece: bytes) -> None:
+        """Collect a part of the body."""
+        self.body += piece
+
+    def on_message_complete(self) -> None:
+        """Note the end."""
+        self.complete = True
+
+
+class RawCall:
+    """One call over a connection of its own.
+
+    Args:
+        port: Port of the daemon or backend server.
+        target: Path with the query string.
+        call: What is called.
+        headers: Headers without the length.
+        part: How much is sent before ``released``: one of ``PARTS``.
+    """
+
+    def __init__(
+        self,
+        port: int,
+        target: str,
+        call: Call,
+        headers: dict[str, str],
+        part: str = 'whole',
+    ) -> None:
+        """Create the call without sending."""
+        self.port = port
+        self.call = call
+        self.sent = Event()
+        self.released = Event()
+        body = call.request_id.encode().ljust(64, b'.')
+        items = {**headers, 'host': IP, 'content-length': str(len(body))}
+        lines = [f'{call.kind.method} {target} HTTP/1.1']
+        lines += [f'{name}: {text}' for name, text in items.items()]
+        head = '\r\n'.join(lines).encode() + b'\r\n\r\n'
+        message = head + body
+        lengths = (len(message), len(head) // 2, len(head) + 32)
+        length = lengths[PARTS.index(part)]
+        self.first = message[:length]
+        self.rest = message[length:]
+
+    async def run(self, limit_s: float) -> Outcome:
+        """Send, wait for the whole answer and check it."""
+        try:
+            async with timeout(limit_s):
+                return await self.exchange()
+        except (OSError, TimeoutError, HttpParserError) as error:
+            detail = f'{type(error).__name__}: {error}'
+            return Outcome(self.call, 0, 0, detail=detail)
+
+    async def exchange(self) -> Outcome:
+        """Do the exchange on a new connection."""
+        reader, writer = await open_connection(IP, self.port)
+        answer = AnswerParser()
+        try:
+            writer.write(self.first)
+            await writer.drain()
+            self.sent.set()
+            if self.rest:
+                await self.released.wait()
+                writer.write(self.rest)
+            while not answer.complete:
+                piece = await reader.read(READ_BYTES)
+                if not piece:
+                    raise ConnectionError('the answer ended early')
+                answer.parser.feed_data(piece)
+        finally:
+            writer.close()
+        status = answer.parser.get_status_code()
+        return check_answer(self.call, status, answer.headers, answer.body)
--- a/bergamotshunt/tests/test_backend_standin.py
+++ b/bergamotshunt/tests/test_backend_standin.py
@@ -109,7 +109,7 @@
 
     async def check(server: Probe) -> None:
         call = asyncio.create_task(server.call('/refunds?hold=h'))
-        await server.app.reached_by_name['h'].wait()
+        await server.app.holds.reached_by_name['h'].wait()
         call.cancel()
         await server.app.slots.acquire()
         assert server.app.outcomes['cancelled'] == 1
--- /dev/null
+++ b/bergamotshunt/tests/test_fault_matrix.py
@@ -0,0 +1,88 @@
+"""The fault matrix: its table, its judges and its report."""
+
+from collections import Counter
+from typing import Any
+
+from bench.fault_changes import CHANGE_STEPS
+from bench.fault_judge import judge_graceful
+from bench.fault_life import LIFE_STEPS
+from bench.fault_matrix import (
+    TRACKS,
+    MatrixCell,
+    plan_cells,
+    plan_ci_cells,
+)
+from bench.fault_report import write_report
+from bench.fault_steps import BALANCE, REFUND, STEPS
+from bench.fault_table import FAULTS
+from bench.faults import CellResult
+from bench.judges import find_faults
+from bench.load import Outcome, check_answer
+from bench.plans import Call, plan_calls
+from bench.shapes import TINAJAS
+
+
+def call(kind: Any = REFUND) -> Call:
+    return Call(0, kind, kind.path_prefix, 'r1', 'b1', 0)
+
+
+def runs(**counts: int) -> dict[str, Any]:
+    return {
+        'executions_by_key': Counter(b1=counts.get('b1', 0)),
+        'runs_by_request_id': Counter(r1=counts.get('r1', 0)),
+    }
+
+
+def test_every_fault_meets_every_step() -> None:
+    """Guards against a cell that is left out without a reason."""
+    cells = plan_cells()
+    single = {
+        (c.track, c.step, c.faults[0]) for c in cells if len(c.faults) == 1
+    }
+    assert single == {
+        (track, step, fault)
+        for track in TRACKS
+        for step in TRACKS[track].steps
+        for fault in FAULTS.names()
+    }
+    assert set(TRACKS['request'].steps) == set(STEPS.names())
+    assert set(TRACKS['change'].steps) == set(CHANGE_STEPS.names())
+    assert set(TRACKS['life'].steps) == set(LIFE_STEPS.names())
+    assert set(plan_ci_cells()) < set(cells)
+
+
+def test_judges_see_each_violation() -> None:
+    """Guards against judges that pass whatever happens."""
+    good = Outcome(call(), 1, 200, 'ran')
+    assert find_faults([good], [runs(b1=1, r1=1)]) == {}
+    assert 'double runs' in find_faults([good], [runs(b1=1), runs(b1=1)])
+    denied = good._replace(status=503, verdict='not-run')
+    assert 'ran despite not-run' in find_faults([denied], [runs(r1=1)])
+    assert 'broken answers' in find_faults([good._replace(own=False)], [])
+    lost = good._replace(status=0)
+    assert judge_graceful([lost], {'r1'})
+    assert not judge_graceful([good], {'r1'})
+
+
+def test_answers_are_checked() -> None:
+    """Guards against short and foreign answers that pass for good ones."""
+    foreign = check_answer(call(BALANCE), 200, {'x-request-id': 'r2'}, b'')
+    assert not foreign.own
+    short = check_answer(call(BALANCE), 200, {'content-length': '2'}, b'1')
+    assert not short.whole
+    digest = {'content-digest': 'sha-256=:AAAA:'}
+    assert not check_answer(call(BALANCE), 200, digest, b'1').whole
+
+
+def test_failed_cell_is_in_the_report() -> None:
+    """Guards against a report that hides a failure."""
+    cell = MatrixCell('request', ('server drains',), 'running')
+    failed = CellResult(cell, 'failed', ('not run',), 'not run: r1')
+    page = write_report([failed], 'command', 1)
+    assert '## Failed cells\n\n- request, server drains' in page
+
+
+def test_plans_repeat_with_their_seed() -> None:
+    """Guards against loads that differ between compared policies."""
+    assert plan_calls(TINAJAS, 1, 3) == plan_calls(TINAJAS, 1, 3)
+    assert plan_calls(TINAJAS, 1, 3) != plan_calls(TINAJAS, 1, 4)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -8,7 +8,8 @@
     sleep,
     timeout,
 )
-from collections import Counter, defaultdict, deque
+from collections import Counter, deque
+from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
 from random import Random
@@ -24,13 +25,13 @@
     send_whole,
 )
 from standins.answers import (
-    HOLD_LIMIT_S,
     OWN_REQUEST_ID,
     Work,
     read_work,
     send_answer,
     write_body,
 )
+from standins.holds import Holds
 from standins.injected import Faults
 from standins.kinds import draw_service_ms, find_kind
 from standins.serving import Connections
@@ -83,7 +84,11 @@
         self.connections = Connections(connections)
         self.faults = Faults()
         self.draining = False
-        self.started_at = monotonic()
+        self.created_at = monotonic()
+        self.started_at = self.created_at
+        self.received = 0
+        # Called for each run with the booking and the request id.
+        self.on_run: Callable[[str, str], None] | None = None
         self.queued = 0
         self.running = 0
         self.probe_ms = 0.0
@@ -94,8 +99,7 @@
         self.outcomes = Counter[str]()
         self.thawed = Event()
         self.thawed.set()
-        self.reached_by_name: dict[str, Event] = defaultdict(Event)
-        self.released_by_name: dict[str, Event] = defaultdict(Event)
+        self.holds = Holds()
         self._answers: deque[tuple[str, bytes]] = deque(
             maxlen=REMEMBERED_ANSWERS
         )
@@ -152,6 +156,7 @@
             await self.serve_probe(scope['path'], send)
             return
         work = read_work(scope, headers, body)
+        self.received += 1
         refusal = self.find_refusal()
         if refusal is not None:
             await self.send_problem(send, work, *refusal)
@@ -207,7 +212,7 @@
         """
         for _ in range(1 + self.faults.run_twice):
             self.note_run(work)
-        await self.pause_at(work, 'hold')
+        await self.holds.pause_at(work, 'hold')
         time_s = self.draw_ms(work) * self.slowness() / MS_PER_S
         left_s = work.expires_at - monotonic()
         await sleep(min(time_s, max(0, left_s)))
@@ -218,7 +223,10 @@
         key = work.headers.get(BOOKING_ID) or work.headers.get(BOOKING_KEY)
         if key:
             self.executions_by_key[key] += 1
-        self.runs_by_request_id[work.headers.get(REQUEST_ID, '')] += 1
+        request_id = work.headers.get(REQUEST_ID, '')
+        self.runs_by_request_id[request_id] += 1
+        if self.on_run is not None:
+            self.on_run(key or '', request_id)
         kind = find_kind(work.method, work.path)
         self.runs_by_path[kind.path_prefix if kind else work.path] += 1
         self.last_run_at = monotonic()
@@ -232,15 +240,6 @@
             return self.service_time_ms or 0
         return draw_service_ms(kind, self.rng)
 
-    async def pause_at(self, work: Work, step: str) -> None:
-        """Wait at a step that the request names, until it is released."""
-        if step not in work.query:
-            return
-        name = work.query[step][0]
-        self.reached_by_name[name].set()
-        async with timeout(HOLD_LIMIT_S):
-            await self.released_by_name[name].wait()
-
     async def answer(self, work: Work, send: Any) -> None:
         """Send the answer of a finished run."""
         await sleep(self.faults.late_ms / MS_PER_S)
@@ -256,7 +255,7 @@
         self._answers.append((request_id, body))
         self.outcomes['answered'] += 1
         cut = self.rng.random() < self.faults.cut_short
-        pause = partial(self.pause_at, work, 'hold_answer')
+        pause = partial(self.holds.pause_at, work, 'hold_answer')
         await send_answer(send, request_id, body, cut, pause)
 
     def choose_size(self, work: Work) -> int:
--- a/standins/backend_process.py
+++ b/standins/backend_process.py
@@ -10,6 +10,7 @@
 from asyncio import Task as AsyncioTask
 from asyncio import create_task
 from json import dumps, loads
+from pathlib import Path
 from random import Random
 from signal import SIGINT, SIGTERM
 from sys import stdout
@@ -111,7 +112,7 @@
 
     async def wait_reached(self, request: Request) -> JSONResponse:
         """Answer when a request waits at the named step."""
-        reached = self.app.reached_by_name[request.query_params['name']]
+        reached = self.app.holds.reached_by_name[request.query_params['name']]
         try:
             await wait_for(reached.wait(), REACH_LIMIT_S)
         except TimeoutError:
@@ -120,7 +121,7 @@
 
     async def release(self, request: Request) -> JSONResponse:
         """Let the request at the named step go on."""
-        self.app.released_by_name[request.query_params['name']].set()
+        self.app.holds.released_by_name[request.query_params['name']].set()
         return JSONResponse({})
 
 
@@ -166,7 +167,8 @@
         'draining': app.draining,
         'slowness': app.slowness(),
         'probe_ms': app.probe_ms,
-        'up_s': monotonic() - app.started_at,
+        'up_s': monotonic() - app.created_at,
+        'received': app.received,
         'idle_s': monotonic() - app.last_run_at,
         'executions_by_key': app.executions_by_key,
         'runs_by_request_id': app.runs_by_request_id,
@@ -177,6 +179,21 @@
     }
 
 
+class Journal:
+    """File of all runs, which outlives a process that is killed.
+
+    Each line has the booking, a tab and the request id.
+    """
+
+    def __init__(self, path: Path) -> None:
+        """Open the file to append."""
+        self.file = path.open('ab', buffering=0)
+
+    def note(self, booking: str, request_id: str) -> None:
+        """Write one run."""
+        self.file.write(f'{booking}\t{request_id}\n'.encode())
+
+
 def parse_arguments() -> Namespace:
     """Read the command line."""
     parser = ArgumentParser(prog='python -m standins.backend')
@@ -190,6 +207,7 @@
     parser.add_argument('--cold-s', type=float, default=0)
     parser.add_argument('--cold-factor', type=float, default=10)
     parser.add_argument('--seed', type=int, default=0)
+    parser.add_argument('--journal', type=Path)
     return parser.parse_args()
 
 
@@ -205,6 +223,8 @@
         arguments.cold_factor,
         arguments.connections,
     )
+    if arguments.journal is not None:
+        app.on_run = Journal(arguments.journal).note
     process = BackendProcess(
         app, arguments.ip, arguments.port, arguments.control_port
     )
--- /dev/null
+++ b/standins/holds.py
@@ -0,0 +1,29 @@
+"""Steps at which a backend stand-in holds requests until told."""
+
+from asyncio import Event, timeout
+from collections import defaultdict
+
+from standins.answers import HOLD_LIMIT_S, Work
+
+
+class Holds:
+    """Requests that name a step in their query wait there.
+
+    Attributes:
+        reached_by_name: Set when a request waits under the name.
+        released_by_name: Set to let it go on.
+    """
+
+    def __init__(self) -> None:
+        """Hold nothing."""
+        self.reached_by_name: dict[str, Event] = defaultdict(Event)
+        self.released_by_name: dict[str, Event] = defaultdict(Event)
+
+    async def pause_at(self, work: Work, step: str) -> None:
+        """Wait at a step that the request names, until it is released."""
+        if step not in work.query:
+            return
+        name = work.query[step][0]
+        self.reached_by_name[name].set()
+        async with timeout(HOLD_LIMIT_S):
+            await self.released_by_name[name].wait()
