State the targets of a process fleet by the administration API

Cause: the process fleet wrote targets in a format that the keeper no longer reads, so no daemon became ready ("jar-ledger-1 was not ready within 60 s"). Submitting what GET returns was refused with 422 because of its revision.

Change: the fleet submits targets at the first daemon as an operator does; a document may carry the revision that reading returned, which is ignored, as If-Match decides.

Ruled out: removing the revision from what GET returns; operators want to see it beside the targets.

Conclusion: the path runs as separate processes with targets from operators.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,9 +1,9 @@
 """A deployment as separate processes: platform, servers and daemons."""
 
 from asyncio import gather
-from base64 import b64encode
 from collections import Counter
 from configparser import ConfigParser
+from functools import partial
 from http import HTTPStatus
 from json import dumps
 from pathlib import Path
@@ -16,6 +16,8 @@
 from bench.hosts import Host
 from bench.processes import IP, Child, NotReadyError, Ports, poll_until
 from bench.shapes import Shape
+from bergamotshunt.targets import ServiceTargets
+from bergamotshunt.targets_codec import describe_service
 
 READY_TIMEOUT_S: Final = 60
 CALL_TIMEOUT_S: Final = 5
@@ -23,7 +25,6 @@
     'ana': 'ana-token-0123456789',
     'bruno': 'bruno-token-0123456789',
 }
-PREFIX: Final = 'bergamotshunt/targets/'
 SERVING: Final = 1
 
 
@@ -117,8 +118,8 @@
         )
         for host in self.hosts:
             await self.wait_http(f'{host.url("control")}/judge', host.name)
-        await self.put_targets()
         await gather(*(host.daemon.start() for host in self.hosts))
+        await self.put_targets()
         await self.wait_ready()
 
     def add_child(self, name: str, arguments: list[str]) -> Child:
@@ -191,20 +192,28 @@
         return path
 
     async def put_targets(self) -> None:
-        """Put the targets into the platform in the keeper's format."""
+        """State the targets at the first daemon, as an operator would."""
         for targets in self.shape.targets():
-            key = f'{PREFIX}{targets.service}'.encode()
-            put = {
-                'key': b64encode(key).decode(),
-                'value': b64encode(
-                    encode(targets._replace(revision=1))
-                ).decode(),
-            }
-            async with self.session.post(
-                f'http://{IP}:{self.platform_port}/v3/kv/txn',
-                json={'success': [{'request_put': put}]},
+            await poll_until(
+                partial(self.put_service, targets),
+                READY_TIMEOUT_S,
+                f'the targets of {targets.service} were not accepted',
+            )
+
+    async def put_service(self, targets: ServiceTargets) -> bool:
+        """Submit the targets of a service; tell whether to go on."""
+        url = f'{self.hosts[0].url("admin")}/v1/targets/{targets.service}'
+        headers = {
+            'Authorization': f'Bearer {OPERATORS["ana"]}',
+            'Idempotency-Key': f'first-{targets.service}',
+        }
+        try:
+            async with self.session.put(
+                url, data=encode(describe_service(targets)), headers=headers
             ) as response:
-                response.raise_for_status()
+                return response.status == HTTPStatus.CREATED
+        except (ClientError, TimeoutError, OSError):
+            return False
 
     async def wait_http(self, url: str, what: str) -> None:
         """Wait until something answers HTTP at a URL."""
@@ -240,7 +249,8 @@
             status = await self.read_status(host)
             if status is None:
                 return False
-            has_targets = status['targets']['revision'] > 0
+            services = status['targets']['services']
+            has_targets = len(services) == len(self.shape.targets())
             return has_targets and count_serving(status) >= wanted
 
         await poll_until(check, READY_TIMEOUT_S, f'{host.name} was not ready')
--- a/bergamotshunt/decisions/validation.py
+++ b/bergamotshunt/decisions/validation.py
@@ -1,6 +1,7 @@
 """Checks of the targets that an operator states, all errors at once."""
 
 from collections.abc import Callable, Mapping
+from math import inf
 from re import fullmatch
 from typing import Any, Final, NamedTuple
 
@@ -21,6 +22,7 @@
 # Above this share the cost of measuring would be felt by callers.
 LARGEST_MEASURING_SHARE: Final = 0.1
 LARGEST_WEIGHT: Final = 1000
+REVISION: Final = 'revision'
 NAME_PATTERN: Final = '[A-Za-z0-9_-]{1,64}'
 PATH_PATTERN: Final = "/[A-Za-z0-9/._~!$&'()*+,;=:@%-]*"
 
@@ -90,6 +92,11 @@
     return isinstance(found, int) and is_number(found, 1, LONGEST_ANSWER_MS)
 
 
+def is_revision(found: Any) -> bool:
+    """Tell whether the value can be a revision."""
+    return isinstance(found, int) and is_number(found, 0, inf)
+
+
 def is_target_list(found: Any) -> bool:
     """Tell whether the value is a list of targets, not too long."""
     return isinstance(found, list) and 0 < len(found) <= MOST_TARGETS
@@ -108,6 +115,9 @@
         f'a list of 1 to {MOST_TARGETS} targets',
         is_target_list,
     ),
+    # Accepted so that a document can be read, edited and sent back; the
+    # revision that decides is the one in If-Match.
+    REVISION: Rule('a whole number from 0', is_revision),
 }
 TARGET_RULES: Final[Mapping[str, Rule]] = {
     'name': NAME_RULE,
@@ -227,7 +237,7 @@
 
 def build_service(document: dict[str, Any], service: str) -> ServiceTargets:
     """Build the targets from a checked document."""
-    fields = {**document, 'service': service}
+    fields = {**document, 'service': service, REVISION: 0}
     fields['targets'] = tuple(map(build_target, document['targets']))
     return ServiceTargets(**fields)
 
--- a/bergamotshunt/tests/test_targets_decisions.py
+++ b/bergamotshunt/tests/test_targets_decisions.py
@@ -38,9 +38,11 @@
     SubmissionView,
     decide_submission,
 )
+from bergamotshunt.decisions.validation import check_service
 from bergamotshunt.members import Member, MemberStatus
 from bergamotshunt.messages import RevisionHeard, SubmitChange
 from bergamotshunt.targets import Change, ServiceTargets, Target, TargetSet
+from bergamotshunt.targets_codec import describe_service
 from bergamotshunt.targets_messages import (
     SubmitFailure,
     SubmitFailureKind,
@@ -261,3 +263,12 @@
     refused = decide_submission(message, SubmissionView(2, None), 1)
     assert isinstance(refused, SubmitFailure)
     assert refused.kind is SubmitFailureKind.ABSENT
+
+
+def test_document_can_be_read_and_sent_back() -> None:
+    """Guards against a refusal of the revision that reading returned."""
+    service = targets_of(3)
+    checked = check_service(describe_service(service), 'jar-ledger')
+    assert checked.service == service._replace(revision=0)
+    refused = check_service({**describe_service(service), 'revision': -1}, 'x')
+    assert 'revision' in {error.field for error in refused.errors}
