Measure hops and cut work from the path of a call

Cause: each answer built a candidate three times and a head twice, and a debug line that nobody reads was assembled for each call. Change: one construction each; log lines are assembled only when they are written; latencies.py holds what is usual. bench/hops.py measures direct, one-hop and two-hop calls and the processor time of each process. Ruled out: a watch for a leaving caller as a task from the start; it starts 5 ms into a call, as most calls have ended by then.

--- /dev/null
+++ b/bench/hops.py
@@ -0,0 +1,304 @@
+"""Cost of one and two hops: ``python -m bench.hops``.
+
+Sequential calls over loopback, in a seeded random order of three ways:
+directly to a backend stand-in, through its guard (one hop, as the client
+library does), and through an entry and the guard (two hops). Each daemon
+and the stand-in run in processes of their own. The stand-in answers at
+once, so that the added time is that of the hops.
+"""
+
+from asyncio import Event, Runner, sleep
+from os import environ
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from time import monotonic, perf_counter_ns
+from typing import Any, Final
+
+from cyclopts import App
+from hdrh.histogram import HdrHistogram
+from returns.result import Success
+
+from bench.processes import Child, Ports
+from bergamotshunt.headers import DEADLINE_MS, REQUEST_ID, TARGET
+from bergamotshunt.kernel import Context, Kernel, Post
+from bergamotshunt.log import configure_log
+from bergamotshunt.members import Member, ServerState
+from bergamotshunt.messages import (
+    HealthObserved,
+    MembersChanged,
+    TargetsChanged,
+)
+from bergamotshunt.settings import (
+    BackendServerSettings,
+    CallsSettings,
+    DaemonSettings,
+    Settings,
+)
+from bergamotshunt.targets import ServiceTargets, Target, TargetSet
+from bergamotshunt.transport import HttpRequest, Sender
+from bergamotshunt.web import HttpServer, decode_headers, send_whole
+
+IP: Final = '127.0.0.1'
+SERVICE: Final = 'jar-ledger'
+PROCESS_ID: Final = 1
+BODY: Final = b'{"jars": 12, "credit": "34.50"}'
+TARGETS: Final = TargetSet(
+    1,
+    {
+        SERVICE: ServiceTargets(
+            SERVICE, (Target('balance', ('GET',), '/', idempotent=True),)
+        )
+    },
+)
+MAX_CALLS: Final = 100_000
+READY_TRIES: Final = 500
+READY_PAUSE_S: Final = 0.02
+WARM_UP: Final = 200
+WAYS: Final = ('direct', 'one hop', 'two hops')
+HIGHEST_US: Final = 10_000_000
+TICKS_PER_S: Final = 100
+US_PER_S: Final = 1_000_000
+
+app = App(name='bench.hops', help='Measure the cost of hops.')
+
+
+async def answer_at_once(scope: Any, receive: Any, send: Any) -> None:
+    """Answer every request with the same body (ASGI)."""
+    await receive()
+    headers = [('content-type', 'application/json')]
+    request_id = decode_headers(scope).get(REQUEST_ID)
+    if request_id:
+        headers.append((REQUEST_ID, request_id))
+    await send_whole(send, 200, headers, BODY)
+
+
+async def serve_backend(port: int) -> None:
+    """Serve the stand-in until the process is ended."""
+    await HttpServer(answer_at_once, IP, port).open()
+    await Event().wait()
+
+
+async def serve_daemon(task: str, port: int, other_port: int) -> None:
+    """Run one task of a daemon until the process is ended.
+
+    Args:
+        task: ``guard`` or ``entry``.
+        port: Port of that task.
+        other_port: Port of the stand-in, or of the guard.
+    """
+    is_guard = task == 'guard'
+    settings = Settings(
+        daemon=DaemonSettings(
+            id='d1',
+            peers_port=port if is_guard else 0,
+            callers_port=0 if is_guard else port,
+        ),
+        backend_server=BackendServerSettings(
+            SERVICE, f'http://{IP}:{other_port}'
+        )
+        if is_guard
+        else BackendServerSettings(),
+        calls=CallsSettings(hedge_share=0.02),
+    )
+    kernel = Kernel(Context(settings, Post(), Random(1), PROCESS_ID), (task,))
+    await kernel.start()
+    post = kernel.context.post
+    post.publish(TargetsChanged(TARGETS))
+    post.publish(HealthObserved(True))
+    post.publish(MembersChanged({'d1': member_at(other_port)}))
+    await Event().wait()
+
+
+def member_at(port: int) -> Member:
+    """Return the record of the only server."""
+    return Member(
+        'd1',
+        1,
+        IP,
+        port,
+        1,
+        'region-1',
+        'zone-1',
+        SERVICE,
+        ServerState.SERVING,
+        process_id=PROCESS_ID,
+    )
+
+
+class Way:
+    """One way of calling, with its histogram in microseconds."""
+
+    def __init__(self, name: str, url: str, headers: dict[str, str]) -> None:
+        """Create a way without measurements."""
+        self.name = name
+        self.url = url
+        self.headers = headers
+        self.histogram = HdrHistogram(1, HIGHEST_US, 3)
+
+    async def call(self, sender: Sender, number: int) -> int:
+        """Make one call; return its time in microseconds.
+
+        Raises:
+            RuntimeError: The answer is not the expected one.
+        """
+        headers = {**self.headers, REQUEST_ID: f'r{number}'}
+        request = HttpRequest('GET', self.url, headers, b'', 5000)
+        begun_ns = perf_counter_ns()
+        outcome = await sender.send(request)
+        took_us = (perf_counter_ns() - begun_ns) // 1000
+        match outcome:
+            case Success(answer) if answer.body == BODY:
+                return took_us
+        raise RuntimeError(f'{self.name}: {outcome}')
+
+    def percentile_ms(self, percentile: float) -> float:
+        """Return a percentile in milliseconds."""
+        return self.histogram.get_value_at_percentile(percentile) / 1000
+
+
+async def wait_until_ready(way: Way, sender: Sender) -> None:
+    """Repeat a call until it succeeds.
+
+    Raises:
+        RuntimeError: It did not within 10 s.
+    """
+    for _ in range(READY_TRIES):
+        try:
+            await way.call(sender, 0)
+        except RuntimeError:
+            await sleep(READY_PAUSE_S)
+        else:
+            return
+    await way.call(sender, 0)
+
+
+def cpu_seconds(child: Child) -> float:
+    """Return the processor time that a child has used so far."""
+    assert child.process is not None
+    fields = Path(f'/proc/{child.process.pid}/stat').read_text().split()
+    # Fields 14 and 15 are user and system time in ticks of 10 ms.
+    return (int(fields[13]) + int(fields[14])) / TICKS_PER_S
+
+
+async def measure(calls: int, seed: int) -> tuple[list[Way], dict[str, float]]:
+    """Start the processes, make the calls, and end the processes.
+
+    Returns:
+        The ways, and the processor time in us that each process spent on
+        one call that passed through it.
+    """
+    ports = Ports()
+    backend, guard, entry = (ports.reserve() for _ in range(3))
+    inner = {DEADLINE_MS: '5000', TARGET: 'balance'}
+    ways = [
+        Way(WAYS[0], f'http://{IP}:{backend}/balances/7', {}),
+        Way(WAYS[1], f'http://{IP}:{guard}/balances/7', inner),
+        Way(WAYS[2], f'http://{IP}:{entry}/{SERVICE}/balances/7', {}),
+    ]
+    with TemporaryDirectory() as folder:
+        children = [
+            Child(name, ['-m', 'bench.hops', *arguments], Path(folder))
+            for name, arguments in (
+                ('backend', ['backend', str(backend)]),
+                ('guard', ['daemon', 'guard', str(guard), str(backend)]),
+                ('entry', ['daemon', 'entry', str(entry), str(guard)]),
+            )
+        ]
+        sender = Sender(4)
+        try:
+            for child in children:
+                await child.start()
+            for way in ways:
+                await wait_until_ready(way, sender)
+            await warm_up(ways, sender)
+            before = [cpu_seconds(child) for child in children]
+            await make_calls(ways, sender, calls, Random(seed))
+            after = [cpu_seconds(child) for child in children]
+        except RuntimeError:
+            for child in children:
+                print(child.name, child.log_end())
+            raise
+        finally:
+            await sender.close()
+            for child in children:
+                await child.end()
+            ports.close()
+    passed = (3 * calls, 2 * calls, calls)
+    return ways, {
+        child.name: (end - begin) / count * US_PER_S
+        for child, begin, end, count in zip(
+            children, before, after, passed, strict=True
+        )
+    }
+
+
+async def warm_up(ways: list[Way], sender: Sender) -> None:
+    """Make calls that are not measured."""
+    for number in range(WARM_UP):
+        await ways[number % len(ways)].call(sender, number)
+
+
+async def make_calls(
+    ways: list[Way], sender: Sender, calls: int, rng: Random
+) -> None:
+    """Make the calls of each way, interleaved in random order."""
+    order = [way for way in ways for _ in range(calls)]
+    rng.shuffle(order)
+    for number, way in enumerate(order):
+        way.histogram.record_value(await way.call(sender, number))
+
+
+def print_table(ways: list[Way]) -> None:
+    """Print percentiles, added time and ratios to the direct way."""
+    print(
+        f'{"way":<10}{"calls":>7}{"p50 ms":>9}{"p99 ms":>9}{"p99.9 ms":>10}'
+        f'{"added p50":>11}{"added p99":>11}{"x p50":>7}{"x p99":>7}'
+    )
+    direct = ways[0]
+    for way in ways:
+        p50, p99, p999 = (way.percentile_ms(share) for share in (50, 99, 99.9))
+        base50, base99 = (direct.percentile_ms(share) for share in (50, 99))
+        count = way.histogram.get_total_count()
+        print(
+            f'{way.name:<10}{count:>7}{p50:>9.3f}{p99:>9.3f}{p999:>10.3f}'
+            f'{p50 - base50:>11.3f}{p99 - base99:>11.3f}'
+            f'{p50 / base50:>7.2f}{p99 / base99:>7.2f}'
+        )
+
+
+def run_on_uvloop(work: Any) -> Any:
+    """Run a coroutine on the event loop that daemons use."""
+    environ['UV_USE_IO_URING'] = '0'
+    from uvloop import new_event_loop
+
+    with Runner(loop_factory=new_event_loop) as runner:
+        return runner.run(work)
+
+
+@app.command
+def backend(port: int) -> None:
+    """Serve the stand-in."""
+    run_on_uvloop(serve_backend(port))
+
+
+@app.command
+def daemon(task: str, port: int, other_port: int) -> None:
+    """Run one task of a daemon."""
+    configure_log('info')
+    run_on_uvloop(serve_daemon(task, port, other_port))
+
+
+@app.default
+def main(calls: int = 4000, seed: int = 1) -> None:
+    """Measure ``calls`` calls each way and print a table."""
+    begun = monotonic()
+    ways, cpu_us = run_on_uvloop(measure(min(calls, MAX_CALLS), seed))
+    print_table(ways)
+    spent = ', '.join(f'{name} {us:.0f}' for name, us in cpu_us.items())
+    print(f'processor time a call in us: {spent}')
+    print(f'seed {seed}, {monotonic() - begun:.1f} s in all')
+
+
+if __name__ == '__main__':
+    app()
--- a/bergamotshunt/attempts.py
+++ b/bergamotshunt/attempts.py
@@ -36,7 +36,8 @@
     Verdict,
     create_refusal,
 )
-from bergamotshunt.views import AttemptEnd, ServiceView
+from bergamotshunt.latencies import AttemptEnd
+from bergamotshunt.views import ServiceView
 
 # Statuses that a failing server answers with; other errors are the
 # caller's or belong to the service's own protocol.
--- a/bergamotshunt/call_counts.py
+++ b/bergamotshunt/call_counts.py
@@ -3,7 +3,7 @@
 from typing import Any, Final
 
 from bergamotshunt.calls import CallHead
-from bergamotshunt.log import log_event
+from bergamotshunt.log import is_logged, log_event
 from bergamotshunt.metrics import CALL_SECONDS, CALLS
 
 MS_PER_S: Final = 1000
@@ -21,16 +21,17 @@
         self, head: CallHead, verdict: str, outcome: str, took_ms: float
     ) -> None:
         """Count a request that ended; internal checks are not counted."""
-        log_event(
-            'entry:call',
-            level='debug',
-            service=head.service,
-            target=head.target.name,
-            request_id=head.request_id,
-            verdict=verdict,
-            outcome=outcome,
-            took_ms=round(took_ms, 3),
-        )
+        if is_logged('debug'):
+            log_event(
+                'entry:call',
+                level='debug',
+                service=head.service,
+                target=head.target.name,
+                request_id=head.request_id,
+                verdict=verdict,
+                outcome=outcome,
+                took_ms=round(took_ms, 3),
+            )
         if head.internal:
             return
         labels = (head.service, head.target.name)
--- a/bergamotshunt/call_heads.py
+++ b/bergamotshunt/call_heads.py
@@ -49,9 +49,9 @@
 _ID = compile_pattern('[A-Za-z0-9._:-]{1,128}', ASCII)
 # What a term of a call looks like, and how that is told to the caller.
 TERMS: Final = {
-    DEPTH: (compile_pattern('[0-9]{1,4}'), 'a number from 0 to 9999'),
-    INTERNAL: (compile_pattern('[01]'), '0 or 1'),
-    BOOKING_KEY: (
+    DEPTH.encode(): (compile_pattern('[0-9]{1,4}'), 'a number from 0 to 9999'),
+    INTERNAL.encode(): (compile_pattern('[01]'), '0 or 1'),
+    BOOKING_KEY.encode(): (
         compile_pattern('[!-~]{1,255}'),
         '1 to 255 visible characters',
     ),
@@ -87,6 +87,22 @@
     plain: str
 
 
+class Terms(NamedTuple):
+    """Terms of a call that its caller states.
+
+    Attributes:
+        time_ms: Time until the caller gives up.
+        depth: Number of calls above this one in its call tree.
+        internal: Whether the call is an internal check.
+        booking_key: Idempotency key, or empty.
+    """
+
+    time_ms: int
+    depth: int
+    internal: bool
+    booking_key: str
+
+
 def measure_head(scope: Any) -> int:
     """Return the bytes of the path, the query string and all headers."""
     size = len(scope['raw_path']) + len(scope['query_string'])
@@ -198,25 +214,39 @@
     target = find_target(by_service, scope['method'], path.unwrap())
     if isinstance(target, Failure):
         return Failure(target.failure())
-    head = CallHead(
-        path.unwrap().service,
-        scope['method'],
-        path.unwrap().encoded,
-        headers.passed,
-        request_id,
-        now_ms,
-        target.unwrap(),
+    terms = read_terms(headers.read, settings)
+    if isinstance(terms, Failure):
+        return Failure(terms.failure())
+    found = target.unwrap()
+    split = path.unwrap()
+    time_ms, depth, internal, booking_key = terms.unwrap()
+    return Success(
+        CallHead(
+            split.service,
+            scope['method'],
+            split.encoded,
+            headers.passed,
+            request_id,
+            now_ms + time_ms,
+            found,
+            depth,
+            internal or found.internal,
+            booking_key,
+        ),
     )
-    return read_terms(head, headers.read, settings)
 
 
 def read_terms(
-    head: CallHead, read: Mapping[bytes, bytes], settings: CallsSettings
-) -> Result[CallHead, CallFailure]:
+    read: Mapping[bytes, bytes], settings: CallsSettings
+) -> Result[Terms, CallFailure]:
     """Read deadline, depth, internal mark and booking key of a request."""
-    terms = {
-        name.decode(): text.decode('latin-1') for name, text in read.items()
-    }
+    terms: dict[str, str] = {}
+    for name, text in read.items():
+        pattern, allowed = TERMS.get(name, ANY_TEXT)
+        term = text.decode('latin-1')
+        if pattern.fullmatch(term) is None:
+            return malformed(f'{name.decode()} must be {allowed}')
+        terms[name.decode()] = term
     time_ms = parse_deadline_ms(
         terms.get(DEADLINE_MS),
         settings.default_deadline_ms,
@@ -224,10 +254,6 @@
     )
     if time_ms is None:
         return malformed(f'{DEADLINE_MS} must be a whole number')
-    for name, text in terms.items():
-        pattern, allowed = TERMS.get(name, ANY_TEXT)
-        if pattern.fullmatch(text) is None:
-            return malformed(f'{name} must be {allowed}')
     depth = int(terms.get(DEPTH, '0'))
     if depth > MAX_DEPTH:
         return Failure(
@@ -238,11 +264,11 @@
             ),
         )
     return Success(
-        head._replace(
-            deadline_ms=head.deadline_ms + time_ms,
-            depth=depth,
-            internal=terms.get(INTERNAL) == '1' or head.target.internal,
-            booking_key=terms.get(BOOKING_KEY, ''),
+        Terms(
+            time_ms,
+            depth,
+            terms.get(INTERNAL) == '1',
+            terms.get(BOOKING_KEY, ''),
         ),
     )
 
--- a/bergamotshunt/decisions/choosing.py
+++ b/bergamotshunt/decisions/choosing.py
@@ -1,6 +1,6 @@
 """Choice of a backend server among the candidates of a service."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
 from typing import Final
 
@@ -178,3 +178,14 @@
     return (
         base_latency_ms(candidate, choice) < 2 * choice.typical.latency_ms + 2
     )
+
+
+def without(
+    candidates: Iterable[Candidate], tried: Collection[str]
+) -> list[Candidate]:
+    """Return the candidates that the call has not tried."""
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.member.daemon_id not in tried
+    ]
--- /dev/null
+++ b/bergamotshunt/latencies.py
@@ -0,0 +1,91 @@
+"""Latencies of the servers of one service, compared with what is usual."""
+
+from math import inf
+from typing import Final, NamedTuple
+
+from bergamotshunt.calls import LoadReport
+from bergamotshunt.decisions.scoring import Typical
+
+SERVER_GAIN: Final = 0.2
+USUAL_GAIN: Final = 0.05
+# A failed attempt counts as this slow, so that a server that fails fast
+# does not look like the best one.
+PENALTY_FACTOR: Final = 10.0
+MIN_PENALTY_MS: Final = 250.0
+
+
+class AttemptEnd(NamedTuple):
+    """How one attempt ended.
+
+    Attributes:
+        target: Target that the call belongs to.
+        latency_ms: Time from the request to the answer.
+        failed: Whether the server failed: no answer, or status 5xx.
+        refused: Whether its daemon refused; ``failed`` is False then.
+        report: Load report that came with the answer, or None.
+    """
+
+    target: str
+    latency_ms: float
+    failed: bool = False
+    refused: bool = False
+    report: LoadReport | None = None
+
+
+class Latencies:
+    """What is usual at one service, by target and over all servers."""
+
+    def __init__(self) -> None:
+        """Create the state without answers."""
+        self.typical = Typical()
+        self.usual_ms_by_target: dict[str, float] = {}
+
+    def is_slow(self, target: str, waited_ms: float) -> bool:
+        """Tell whether a wait is longer than what is usual."""
+        return waited_ms > self.usual_ms_by_target.get(target, inf)
+
+    def keep_targets(self, targets: frozenset[str]) -> None:
+        """Forget what is known of targets that no longer exist."""
+        for target in tuple(self.usual_ms_by_target):
+            if target not in targets:
+                self.usual_ms_by_target.pop(target)
+
+    def weigh(
+        self, end: AttemptEnd, before_ms: float, own_in_flight: int
+    ) -> float:
+        """Return the smoothed latency after an attempt; 0 for no change."""
+        others = self._usual_others(end.report, own_in_flight)
+        typical_ms = self.typical.latency_ms
+        if end.failed or end.refused:
+            self.typical = Typical(typical_ms, others)
+            if end.refused and is_full(end.report):
+                return 0
+            penalty_ms = typical_ms * PENALTY_FACTOR
+            return max(before_ms, end.latency_ms, penalty_ms, MIN_PENALTY_MS)
+        usual_ms = self.usual_ms_by_target.get(end.target, end.latency_ms)
+        usual_ms += (end.latency_ms - usual_ms) * USUAL_GAIN
+        self.usual_ms_by_target[end.target] = usual_ms
+        typical_ms += (end.latency_ms - typical_ms) * USUAL_GAIN
+        self.typical = Typical(typical_ms, others)
+        # Targets differ in cost; a server must not look slow because it
+        # got the expensive ones.
+        sample_ms = end.latency_ms * typical_ms / max(usual_ms, 1e-3)
+        if not before_ms:
+            return sample_ms
+        return before_ms + (sample_ms - before_ms) * SERVER_GAIN
+
+    def _usual_others(
+        self, report: LoadReport | None, own_in_flight: int
+    ) -> float:
+        usual = self.typical.others
+        if report is None:
+            return usual
+        others = max(report.in_flight + report.queued - own_in_flight, 0)
+        return usual + (others - usual) * USUAL_GAIN
+
+
+def is_full(report: LoadReport | None) -> bool:
+    """Tell whether the load alone explains why a server refuses."""
+    if report is None:
+        return False
+    return report.in_flight + report.queued >= report.limit
--- a/bergamotshunt/log.py
+++ b/bergamotshunt/log.py
@@ -23,6 +23,11 @@
 state: Final = LogState()
 
 
+def is_logged(level: str) -> bool:
+    """Tell whether lines of a level are written."""
+    return LEVELS.index(level) >= state.lowest
+
+
 def log_event(message_type: str, level: str = 'info', **fields: Any) -> None:
     """Write one line.
 
@@ -31,7 +36,7 @@
         level: One of ``LEVELS``.
         fields: Further fields; never bodies or secrets.
     """
-    if LEVELS.index(level) >= state.lowest:
+    if is_logged(level):
         log_message(message_type=message_type, level=level, **fields)
 
 
--- a/bergamotshunt/tests/test_calling.py
+++ b/bergamotshunt/tests/test_calling.py
@@ -228,6 +228,23 @@
     run(work())
 
 
+def test_streamed_answer_that_is_given_up_is_closed() -> None:
+    """Guards against a connection that a caller's leaving keeps open."""
+
+    async def work() -> None:
+        peer = Peer('a', reply(b'x' * 1_000_000, length=2_000_000, close=False))
+        async with CallBench(peer) as bench:
+            answer = answer_of(await bench.call(bench.head()))
+            assert answer.rest is not None
+            await anext(answer.rest)
+            view = bench.caller.view_of(SERVICE)
+            assert view.near[0].own_in_flight == 1
+            await answer.rest.aclose()
+            assert view.near[0].own_in_flight == 0
+
+    run(work())
+
+
 def test_streamed_request_is_sent_once() -> None:
     """Guards against resending the rest of a body as the whole."""
 
--- a/bergamotshunt/tests/test_entry.py
+++ b/bergamotshunt/tests/test_entry.py
@@ -238,6 +238,7 @@
             for status in (204, 304):
                 async with bench.session.get(url) as answer:
                     assert answer.status == status
+                    assert 'content-length' not in answer.headers
             async with bench.session.get(url) as answer:
                 assert await answer.text() == 'ok'
 
@@ -263,6 +264,30 @@
     run(work())
 
 
+def test_cut_answer_in_chunks_is_visibly_cut() -> None:
+    """Guards against a last chunk after an answer that was cut short."""
+
+    async def work() -> None:
+        async def chunked(
+            peer: Peer, got: Received, writer: asyncio.StreamWriter
+        ) -> None:
+            large = b'x' * 300_000
+            body = b'%x\r\n%b\r\n' % (len(large), large)
+            headers = 'transfer-encoding: chunked\r\n'
+            await reply(body, headers=headers, length=-1, close=True)(
+                peer, got, writer
+            )
+
+        async with EntryBench(Peer('a', chunked)) as bench:
+            bench.begin()
+            url = f'{bench.url}/jar-ledger/balances/1'
+            async with bench.session.get(url) as cut:
+                with pytest.raises(ClientPayloadError):
+                    await cut.read()
+
+    run(work())
+
+
 def test_caller_that_leaves_ends_the_work_for_it() -> None:
     """Guards against servers that work for nobody."""
 
--- a/bergamotshunt/tests/test_views.py
+++ b/bergamotshunt/tests/test_views.py
@@ -4,7 +4,8 @@
 
 from bergamotshunt.calls import LoadReport
 from bergamotshunt.tests.test_call_decisions import member_of
-from bergamotshunt.views import AttemptEnd, ServiceView, ViewRules
+from bergamotshunt.latencies import AttemptEnd
+from bergamotshunt.views import ServiceView, ViewRules
 
 
 def view_of(names: str, chooser: str = 'expected-wait') -> ServiceView:
--- a/bergamotshunt/views.py
+++ b/bergamotshunt/views.py
@@ -10,20 +10,18 @@
 from random import Random
 from typing import Final, NamedTuple
 
-from bergamotshunt.calls import LoadReport
-from bergamotshunt.decisions.choosing import CHOOSERS, choose_with_spill
-from bergamotshunt.decisions.scoring import Candidate, ChoiceInput, Typical
+from bergamotshunt.decisions.choosing import (
+    CHOOSERS,
+    choose_with_spill,
+    without,
+)
+from bergamotshunt.decisions.scoring import Candidate, ChoiceInput
 from bergamotshunt.ejected import EjectedServers
 from bergamotshunt.extra_load import ExtraLoad
+from bergamotshunt.latencies import AttemptEnd, Latencies
 from bergamotshunt.members import Member
 from bergamotshunt.metrics import EJECTED_SERVERS
 
-SERVER_GAIN: Final = 0.2
-USUAL_GAIN: Final = 0.05
-# A failed attempt counts as this slow, so that a server that fails fast
-# does not look like the best one.
-PENALTY_FACTOR: Final = 10.0
-MIN_PENALTY_MS: Final = 250.0
 # Servers first seen this early in the life of a view may have served for
 # long; they get no slow start.
 LEARNING_MS: Final = 5000.0
@@ -49,24 +47,6 @@
     max_ejected_share: float = 1 / 3
 
 
-class AttemptEnd(NamedTuple):
-    """How one attempt ended.
-
-    Attributes:
-        target: Target that the call belongs to.
-        latency_ms: Time from the request to the answer.
-        failed: Whether the server failed: no answer, or status 5xx.
-        refused: Whether its daemon refused; ``failed`` is False then.
-        report: Load report that came with the answer, or None.
-    """
-
-    target: str
-    latency_ms: float
-    failed: bool = False
-    refused: bool = False
-    report: LoadReport | None = None
-
-
 class Choice(NamedTuple):
     """A chosen server; ``is_trial`` when it is ejected."""
 
@@ -100,8 +80,7 @@
         self.extra_load = ExtraLoad(
             rules.retry_share, rules.hedge_share, now_ms
         )
-        self.typical = Typical()
-        self.usual_ms_by_target: dict[str, float] = {}
+        self.latencies = Latencies()
 
     def replace_members(self, members: Iterable[Member], now_ms: float) -> None:
         """Take over the servers that new work may be sent to."""
@@ -142,7 +121,7 @@
         if not near and not far:
             return None
         choice = ChoiceInput(
-            now_ms, self.rng, next(self.sequence), self.typical
+            now_ms, self.rng, next(self.sequence), self.latencies.typical
         )
         return Choice(choose_with_spill(self.chooser, near, far, choice))
 
@@ -186,7 +165,7 @@
         own_in_flight = max(candidate.own_in_flight - 1, 0)
         candidate = candidate._replace(own_in_flight=own_in_flight)
         waited_ms = now_ms - begun_ms
-        if waited_ms > self.usual_ms_by_target.get(target, inf):
+        if self.latencies.is_slow(target, waited_ms):
             candidate = candidate._replace(
                 latency_ms=max(candidate.latency_ms, waited_ms),
                 latency_at_ms=now_ms,
@@ -211,31 +190,39 @@
         if candidate is None:
             return
         own_in_flight = max(candidate.own_in_flight - 1, 0)
-        candidate = candidate._replace(
-            own_in_flight=own_in_flight,
-            waiting_since_ms=now_ms,
+        reported = (
+            candidate.report,
+            candidate.reported_at_ms,
+            candidate.own_at_report,
         )
         if end.report is not None:
-            candidate = candidate._replace(
-                report=end.report,
-                reported_at_ms=now_ms,
-                own_at_report=own_in_flight,
-            )
-            self._note_others(end.report, own_in_flight)
-        latency_ms = self._weigh(end, candidate.latency_ms)
+            reported = (end.report, now_ms, own_in_flight)
+        latency = (candidate.latency_ms, candidate.latency_at_ms)
+        if not (end.failed or end.refused):
+            self.extra_load.note_latency(end.target, end.latency_ms)
+        latency_ms = self.latencies.weigh(
+            end, candidate.latency_ms, own_in_flight
+        )
         if latency_ms:
-            candidate = candidate._replace(
-                latency_ms=latency_ms, latency_at_ms=now_ms
+            latency = (latency_ms, now_ms)
+        # Positional, as this runs for every attempt.
+        self._put(
+            Candidate(
+                candidate.member,
+                own_in_flight,
+                *reported,
+                *latency,
+                now_ms,
+                candidate.serving_since_ms,
+                candidate.near,
             )
-        self._put(candidate)
+        )
         self._judge(daemon_id, end, now_ms, is_trial)
 
     def keep_targets(self, targets: frozenset[str]) -> None:
         """Forget what is known of targets that no longer exist."""
         self.extra_load.keep_targets(targets)
-        for target in tuple(self.usual_ms_by_target):
-            if target not in targets:
-                self.usual_ms_by_target.pop(target)
+        self.latencies.keep_targets(targets)
 
     def describe(self) -> dict[str, object]:
         """Describe the view for the daemon's status."""
@@ -288,34 +275,6 @@
         every = list(self.candidate_by_id.values())
         return without(every, tried) or self.near + self.far or every
 
-    def _weigh(self, end: AttemptEnd, before_ms: float) -> float:
-        """Return the smoothed latency after an attempt; 0 for no change."""
-        if end.refused and is_full(end.report):
-            return 0
-        if end.failed or end.refused:
-            penalty_ms = self.typical.latency_ms * PENALTY_FACTOR
-            return max(before_ms, end.latency_ms, penalty_ms, MIN_PENALTY_MS)
-        self.extra_load.note_latency(end.target, end.latency_ms)
-        usual_ms = self.usual_ms_by_target.get(end.target, end.latency_ms)
-        usual_ms += (end.latency_ms - usual_ms) * USUAL_GAIN
-        self.usual_ms_by_target[end.target] = usual_ms
-        # Targets differ in cost; a server must not look slow because it
-        # got the expensive ones.
-        typical_ms = self.typical.latency_ms
-        typical_ms += (end.latency_ms - typical_ms) * USUAL_GAIN
-        self.typical = self.typical._replace(latency_ms=typical_ms)
-        sample_ms = end.latency_ms * typical_ms / max(usual_ms, 1e-3)
-        if not before_ms:
-            return sample_ms
-        return before_ms + (sample_ms - before_ms) * SERVER_GAIN
-
-    def _note_others(self, report: LoadReport, own_in_flight: int) -> None:
-        others = max(report.in_flight + report.queued - own_in_flight, 0)
-        usual = self.typical.others
-        self.typical = self.typical._replace(
-            others=usual + (others - usual) * USUAL_GAIN
-        )
-
     def _judge(
         self,
         daemon_id: str,
@@ -337,21 +296,3 @@
         )
         if changed:
             self._place_all()
-
-
-def is_full(report: LoadReport | None) -> bool:
-    """Tell whether the load alone explains why a server refuses."""
-    if report is None:
-        return False
-    return report.in_flight + report.queued >= report.limit
-
-
-def without(
-    candidates: Iterable[Candidate], tried: Collection[str]
-) -> list[Candidate]:
-    """Return the candidates that the call has not tried."""
-    return [
-        candidate
-        for candidate in candidates
-        if candidate.member.daemon_id not in tried
-    ]
