Add the client library and the directory of a service

Cause: callers could reach a server only through an entry, which costs a second hop. Found while writing: an asynchronous generator that was never started does not run its cleanup, so a streamed answer that was given up before its first chunk kept its connection; AnswerRest replaces the generator. Ruled out: one poll for all services, as a client uses few of 1,400.

--- a/bergamotshunt/answer_reading.py
+++ b/bergamotshunt/answer_reading.py
@@ -1,6 +1,7 @@
 """Judgement on an answer that another daemon sent."""
 
 from base64 import b64encode
+from collections.abc import Callable
 from hashlib import sha256
 from http import HTTPStatus
 from typing import Final
@@ -9,7 +10,7 @@
 from msgspec.json import decode
 from returns.result import Failure, Result, Success
 
-from bergamotshunt.call_parts import CallAnswer
+from bergamotshunt.call_parts import AnswerRest, CallAnswer
 from bergamotshunt.headers import (
     CONTENT_DIGEST,
     LOAD,
@@ -43,6 +44,36 @@
 )
 
 
+async def take_answer(
+    exchange: Exchange,
+    request_id: str,
+    max_bytes: int,
+    on_end: Callable[[bool | None], None],
+) -> Result[CallAnswer, CallFailure]:
+    """Read an answer and end its exchange, unless it is still arriving.
+
+    Args:
+        exchange: Answer whose head has arrived.
+        request_id: Id that the answer has to carry.
+        max_bytes: Size up to which it is read whole.
+        on_end: Called at the end of a streamed answer; see ``AnswerRest``.
+    """
+    is_streaming = False
+    try:
+        judged = await judge_answer(exchange, request_id, max_bytes)
+        is_streaming = (
+            isinstance(judged, Success) and not exchange.is_complete()
+        )
+    finally:
+        if not is_streaming:
+            exchange.abort()
+    if not is_streaming:
+        return judged
+    return judged.map(
+        lambda answer: answer._replace(rest=AnswerRest(exchange, on_end))
+    )
+
+
 async def judge_answer(
     exchange: Exchange, request_id: str, max_bytes: int
 ) -> Result[CallAnswer, CallFailure]:
--- a/bergamotshunt/attempts.py
+++ b/bergamotshunt/attempts.py
@@ -1,12 +1,12 @@
 """One attempt of a call: a request to one server, and its outcome."""
 
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final
 
 from returns.result import Failure, Result, Success
 
-from bergamotshunt.answer_reading import judge_answer
+from bergamotshunt.answer_reading import take_answer
 from bergamotshunt.call_parts import Attempt, CallAnswer
 from bergamotshunt.calls import LoadReport
 from bergamotshunt.decisions.deadlines import attempt_timeout_ms
@@ -23,16 +23,9 @@
     TARGET,
     parse_load,
 )
-from bergamotshunt.transport import (
-    SENDING_ERRORS,
-    Exchange,
-    HttpRequest,
-    Sender,
-    explain_error,
-)
+from bergamotshunt.transport import HttpRequest, Sender
 from bergamotshunt.verdicts import (
     CallFailure,
-    CutShortError,
     Verdict,
     create_refusal,
 )
@@ -97,6 +90,13 @@
                     refused=refused and not broken,
                 )
 
+    def end_stream(self, is_whole: bool | None) -> None:
+        """Note the end of a streamed answer; see ``AnswerRest``."""
+        if is_whole is None:
+            self.cancel()
+        else:
+            self.end(failed=not is_whole)
+
     def cancel(self) -> None:
         """Note that the attempt was given up."""
         if self.is_open:
@@ -161,48 +161,16 @@
         if isinstance(opened, Failure):
             return Failure(opened.failure())
         exchange = opened.unwrap()
-        is_streaming = False
-        try:
-            course.report = parse_load(exchange.header(LOAD) or '')
-            judged = await judge_answer(
-                exchange, attempt.head.request_id, self.body_buffer_bytes
-            )
-            is_streaming = (
-                isinstance(judged, Success) and not exchange.is_complete()
-            )
-            return judged.map(
-                lambda answer: answer._replace(
-                    daemon_id=attempt.member.daemon_id,
-                    rest=stream_rest(course, exchange)
-                    if is_streaming
-                    else None,
-                )
-            )
-        finally:
-            if not is_streaming:
-                exchange.abort()
-
-
-async def stream_rest(
-    course: Course, exchange: Exchange
-) -> AsyncGenerator[bytes, None]:
-    """Yield what follows the buffered start of an answer.
-
-    Raises:
-        CutShortError: The answer ended before it was whole.
-    """
-    try:
-        async for chunk in exchange.iterate():
-            yield chunk
-    except SENDING_ERRORS as error:
-        course.end(failed=True)
-        detail = explain_error(error, 0).detail
-        raise CutShortError(detail) from error
-    else:
-        course.end()
-    finally:
-        course.cancel()
-        exchange.abort()
+        course.report = parse_load(exchange.header(LOAD) or '')
+        taken = await take_answer(
+            exchange,
+            attempt.head.request_id,
+            self.body_buffer_bytes,
+            course.end_stream,
+        )
+        return taken.map(
+            lambda answer: answer._replace(daemon_id=attempt.member.daemon_id)
+        )
 
 
 def create_request(attempt: Attempt, timeout_ms: float) -> HttpRequest:
--- a/bergamotshunt/call_heads.py
+++ b/bergamotshunt/call_heads.py
@@ -149,29 +149,45 @@
 
 
 def read_path(scope: Any) -> Result[RequestPath, CallFailure]:
-    """Split the path of a request and decode what decides on the target.
-
-    A server decodes escapes before it acts on a path, so the target is
-    found by the decoded path; otherwise an escape would let a booking
-    pass as another class of work.
-    """
+    """Split the path of a request and decode what decides on the target."""
     raw = scope['raw_path'].decode('latin-1')
     service, _, rest = raw.removeprefix('/').partition('/')
-    plain = f'/{rest}'
-    if '%' in raw:
-        if _BAD_ESCAPE.search(raw):
+    if '%' in service:
+        return malformed('the name of the service has an escape')
+    decoded = scope['path'].removeprefix('/').partition('/')[2]
+    plain = normalize_path(f'/{rest}', f'/{decoded}')
+    if isinstance(plain, Failure):
+        return Failure(plain.failure())
+    query = scope['query_string'].decode('latin-1')
+    return Success(
+        RequestPath(
+            service,
+            f'/{rest}?{query}' if query else f'/{rest}',
+            plain.unwrap(),
+        )
+    )
+
+
+def normalize_path(encoded: str, decoded: str) -> Result[str, CallFailure]:
+    """Return the path by which the target is found.
+
+    A server decodes escapes and joins slashes before it acts on a path;
+    by the path as received, a booking could pass as another class.
+
+    Args:
+        encoded: Path below the service as received.
+        decoded: The same path with its escapes decoded.
+    """
+    plain = encoded
+    if '%' in encoded:
+        if _BAD_ESCAPE.search(encoded):
             return malformed('the path has a malformed percent-escape')
-        if '%' in service:
-            return malformed('the name of the service has an escape')
-        plain = f'/{scope["path"].removeprefix("/").partition("/")[2]}'
+        plain = decoded
     if '.' in plain and _DOT_SEGMENT.search(plain):
         return malformed('the path has a dot segment')
     if '//' in plain:
         plain = sub('/{2,}', '/', plain)
-    query = scope['query_string'].decode('latin-1')
-    return Success(
-        RequestPath(service, f'/{rest}?{query}' if query else f'/{rest}', plain)
-    )
+    return Success(plain)
 
 
 def find_target(
--- a/bergamotshunt/call_parts.py
+++ b/bergamotshunt/call_parts.py
@@ -1,10 +1,12 @@
 """Parts of a call as its attempts send and receive them."""
 
-from collections.abc import AsyncGenerator, AsyncIterable
-from typing import NamedTuple
+from collections.abc import AsyncIterable, Callable
+from typing import NamedTuple, Self
 
 from bergamotshunt.calls import CallHead, HeaderItems
 from bergamotshunt.members import Member
+from bergamotshunt.transport import SENDING_ERRORS, Exchange, explain_error
+from bergamotshunt.verdicts import CutShortError
 
 
 class CallBody(NamedTuple):
@@ -19,6 +21,56 @@
     stream: AsyncIterable[bytes] | None = None
 
 
+class AnswerRest:
+    """Rest of a body that is still arriving; it has to be closed.
+
+    Args:
+        exchange: Where it comes from.
+        on_end: Called once: with True at the end of the body, False when
+            it was cut short, None when it was given up.
+    """
+
+    def __init__(
+        self, exchange: Exchange, on_end: Callable[[bool | None], None]
+    ) -> None:
+        """Take over the exchange."""
+        self._exchange = exchange
+        self._on_end = on_end
+        self._is_open = True
+
+    def __aiter__(self) -> Self:
+        """Iterate over the chunks."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return the next chunk.
+
+        Raises:
+            CutShortError: The answer ended before it was whole.
+            StopAsyncIteration: The answer is whole.
+        """
+        try:
+            chunk = await self._exchange.read_some()
+        except SENDING_ERRORS as error:
+            self._end(False)
+            detail = explain_error(error, 0).detail
+            raise CutShortError(detail) from error
+        if not chunk:
+            self._end(True)
+            raise StopAsyncIteration
+        return chunk
+
+    def close(self) -> None:
+        """Give up what has not arrived; closes the connection."""
+        self._end(None)
+
+    def _end(self, is_whole: bool | None) -> None:
+        if self._is_open:
+            self._is_open = False
+            self._exchange.abort()
+            self._on_end(is_whole)
+
+
 class CallAnswer(NamedTuple):
     """Answer of a backend server to a call.
 
@@ -35,7 +87,7 @@
     status: int
     headers: list[tuple[bytes, bytes]]
     body: bytes
-    rest: AsyncGenerator[bytes, None] | None = None
+    rest: AnswerRest | None = None
     length: int | None = None
     daemon_id: str = ''
 
--- a/bergamotshunt/call_replies.py
+++ b/bergamotshunt/call_replies.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 from typing import Any, Final
 
-from bergamotshunt.call_parts import CallAnswer
+from bergamotshunt.call_parts import AnswerRest, CallAnswer
 from bergamotshunt.web import send_streamed
 
 LENGTH: Final = b'content-length'
@@ -39,9 +39,7 @@
     await send({'type': 'http.response.body', 'body': answer.body})
 
 
-async def send_rest(
-    send: Any, answer: CallAnswer, rest: AsyncGenerator[bytes, None]
-) -> None:
+async def send_rest(send: Any, answer: CallAnswer, rest: AnswerRest) -> None:
     """Send an answer of which only the start is held."""
     headers = answer.headers
     if answer.length is not None:
@@ -51,12 +49,10 @@
             send, answer.status, headers, join(answer.body, rest)
         )
     finally:
-        await rest.aclose()
+        rest.close()
 
 
-async def join(
-    start: bytes, rest: AsyncGenerator[bytes, None]
-) -> AsyncGenerator[bytes, None]:
+async def join(start: bytes, rest: AnswerRest) -> AsyncGenerator[bytes, None]:
     """Yield the start, then the rest."""
     yield start
     async for chunk in rest:
--- a/bergamotshunt/caller.py
+++ b/bergamotshunt/caller.py
@@ -1,7 +1,6 @@
 """Routes calls of one owner: the entry of a daemon, or a client."""
 
-from collections import defaultdict
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from random import Random
 from typing import Any, NamedTuple
 
@@ -11,6 +10,7 @@
 from bergamotshunt.calling import CallTools, Outcome, PlainCall
 from bergamotshunt.calls import CallHead
 from bergamotshunt.members import Member, is_routable
+from bergamotshunt.service_index import ServiceIndex
 from bergamotshunt.settings import CallsSettings
 from bergamotshunt.targets import TargetSet
 from bergamotshunt.transport import Sender
@@ -48,8 +48,7 @@
         """Create a caller that knows no servers."""
         self.place = place
         self.owners = owners
-        self.members_by_id: dict[str, Member] = {}
-        self.ids_by_service: dict[str, set[str]] = defaultdict(set)
+        self.index = ServiceIndex()
         self.views_by_service: dict[str, ServiceView] = {}
         self.tools = CallTools(
             AttemptRunner(
@@ -68,7 +67,7 @@
         if head.target.idempotent:
             return await PlainCall(self.tools, view, head, body).run()
         booking = BookingCall(
-            self.tools, view, self.members_by_id, self.owners, head, body
+            self.tools, view, self.index.members_by_id, self.owners, head, body
         )
         return await booking.run(is_new_key)
 
@@ -92,7 +91,7 @@
 
     def update_members(
         self,
-        members_by_id: dict[str, Member],
+        members_by_id: Mapping[str, Member],
         changed_ids: Collection[str] = (),
     ) -> None:
         """Take over the known members.
@@ -102,19 +101,7 @@
             changed_ids: Those that may differ from the last time; empty
                 for all.
         """
-        before = self.members_by_id
-        changed = changed_ids or before.keys() | members_by_id.keys()
-        services = set()
-        for daemon_id in changed:
-            for known in (before.get(daemon_id), members_by_id.get(daemon_id)):
-                if known is not None:
-                    services.add(known.service)
-                    self.ids_by_service[known.service].discard(daemon_id)
-            member = members_by_id.get(daemon_id)
-            if member is not None:
-                self.ids_by_service[member.service].add(daemon_id)
-        self.members_by_id = members_by_id
-        for service in services:
+        for service in self.index.update(members_by_id, changed_ids):
             self._refresh(service)
 
     def update_targets(self, target_set: TargetSet) -> None:
@@ -139,10 +126,7 @@
         view = self.views_by_service.get(service)
         if view is None:
             return
-        members = [
-            self.members_by_id[daemon_id]
-            for daemon_id in sorted(self.ids_by_service[service])
-        ]
         view.replace_members(
-            filter(is_routable, members), self.place.clock_ms()
+            filter(is_routable, self.index.members_of(service)),
+            self.place.clock_ms(),
         )
--- a/bergamotshunt/calling.py
+++ b/bergamotshunt/calling.py
@@ -204,13 +204,8 @@
         outcome.unwrap() for outcome in outcomes if isinstance(outcome, Success)
     ]
     for unused in answers[1:]:
-        await close_answer(unused)
-
-
-async def close_answer(answer: CallAnswer) -> None:
-    """Give up an answer that may still stream."""
-    if answer.rest is not None:
-        await answer.rest.aclose()
+        if unused.rest is not None:
+            unused.rest.close()
 
 
 def create_no_server(service: str) -> CallFailure:
--- /dev/null
+++ b/bergamotshunt/client.py
@@ -0,0 +1,245 @@
+"""Library for callers: calls that need one hop only.
+
+A client chooses servers as an entry does and connects directly to the
+daemon of the chosen one. Example::
+
+    async with Client(('127.0.0.1:7002',)) as client:
+        outcome = await client.call(
+            ClientCall('GET', 'jar-ledger', '/balances/7')
+        )
+
+The outcome is a ``Result``; its failure states whether the request may
+have run.
+"""
+
+from collections.abc import Mapping
+from random import Random
+from time import monotonic
+from typing import Final, NamedTuple, Self
+from urllib.parse import unquote
+
+from returns.result import Failure, Success
+
+from bergamotshunt.booking_calls import Ownership, make_ticket
+from bergamotshunt.call_heads import (
+    RequestPath,
+    find_target,
+    normalize_path,
+)
+from bergamotshunt.call_parts import CallAnswer, CallBody
+from bergamotshunt.caller import Caller, CallerPlace
+from bergamotshunt.calling import Outcome, create_no_server
+from bergamotshunt.calls import CallHead, HeaderItems
+from bergamotshunt.decisions.tickets import (
+    format_ticket,
+    is_ticket_form,
+    parse_ticket,
+)
+from bergamotshunt.following import Follower
+from bergamotshunt.headers import BOOKING_KEY, DEPTH, INTERNAL
+from bergamotshunt.messages import Ticket
+from bergamotshunt.roundabout import CallersPorts
+from bergamotshunt.settings import CallsSettings
+from bergamotshunt.targets import Target
+from bergamotshunt.transport import Sender
+from bergamotshunt.verdicts import Verdict, create_refusal
+
+MS_PER_S: Final = 1000
+REQUEST_ID_BITS: Final = 128
+MAX_TICKETS: Final = 3
+CONNECTIONS_PER_DAEMON: Final = 64
+
+
+class ClientCall(NamedTuple):
+    """A call to a service.
+
+    Attributes:
+        method: HTTP method.
+        service: Name of the service.
+        path: Path below the service with the query string, encoded.
+        headers: Further headers, names in lower case.
+        body: The whole body.
+        deadline_ms: Time until the answer has to be there; 0 for the
+            default.
+        booking_key: Ticket or UUIDv7 for a booking; a ticket is made when
+            it is empty. Pass the key of the first try to repeat a booking.
+        parent: Headers of the request on whose behalf the call is made.
+    """
+
+    method: str
+    service: str
+    path: str
+    headers: HeaderItems = ()
+    body: bytes = b''
+    deadline_ms: float = 0
+    booking_key: str = ''
+    parent: Mapping[str, str] = {}
+
+
+class TicketOwners:
+    """Owners of keys that are tickets; a client makes no claims."""
+
+    async def resolve(
+        self, service: str, key: str, proposed: Ticket
+    ) -> Ownership:
+        """Return the ticket that the key is."""
+        ticket = parse_ticket(key)
+        if ticket is None:
+            return self._refuse('the booking key is no ticket')
+        return Success(ticket)
+
+    async def rebind(
+        self, service: str, key: str, failed: Ticket, proposed: Ticket
+    ) -> Ownership:
+        """Refuse: a ticket has the same owner for ever."""
+        return self._refuse('a ticket cannot be moved to another owner')
+
+    def _refuse(self, detail: str) -> Ownership:
+        return Failure(create_refusal('bookings-unavailable', detail))
+
+
+class Client:
+    """Calls services directly, or through a callers port if it must.
+
+    Args:
+        peers: Peers ports (``IP:port``) of some daemons.
+        callers: Callers ports (``IP:port``) to fall back to.
+        availability_zone: Zone of this process.
+        settings: Section ``calls`` of the settings.
+        seed: Seed of the random source; by default a random one.
+    """
+
+    def __init__(
+        self,
+        peers: tuple[str, ...],
+        callers: tuple[str, ...] = (),
+        availability_zone: str = '',
+        settings: CallsSettings = CallsSettings(),  # noqa: WPS404
+        seed: int | None = None,
+    ) -> None:
+        """Create a client without connections."""
+        self.peers = peers
+        self.settings = settings
+        self.callers = callers
+        self.availability_zone = availability_zone
+        self.rng = Random(seed)
+
+    async def __aenter__(self) -> Self:
+        """Create the connections; a running event loop is needed."""
+        self.sender = Sender(CONNECTIONS_PER_DAEMON)
+        place = CallerPlace(
+            self.settings, self.availability_zone, self.rng, now_ms
+        )
+        self.caller = Caller(place, self.sender, TicketOwners())
+        self.follower = Follower(
+            self.caller, self.sender, self.peers, self.rng, now_ms
+        )
+        self.callers_ports = CallersPorts(
+            self.sender, self.callers, now_ms, self.settings.body_buffer_bytes
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Close all connections."""
+        await self.follower.close()
+        await self.sender.close()
+
+    async def call(self, call: ClientCall) -> Outcome:
+        """Make a call.
+
+        Returns:
+            The answer of a backend server, or a failure whose verdict
+            tells whether the request may have run. Close ``rest`` of an
+            answer that is still streaming; see ``read_whole``.
+        """
+        time_ms = call.deadline_ms or self.settings.default_deadline_ms
+        head = self._create_head(call, now_ms() + time_ms)
+        followed = await self.follower.get(call.service, time_ms / 2)
+        refusal = self.follower.refusal_of(followed)
+        is_claimed = bool(call.booking_key) and not is_ticket_form(
+            call.booking_key
+        )
+        if refusal or is_claimed:
+            return await self.callers_ports.call(head, call.body, refusal)
+        path = call.path.partition('?')[0]
+        found = normalize_path(path, unquote(path)).bind(
+            lambda plain: find_target(
+                {call.service: followed.targets} if followed.targets else {},
+                call.method,
+                RequestPath(call.service, call.path, plain),
+            )
+        )
+        if isinstance(found, Failure):
+            return Failure(found.failure())
+        target = found.unwrap()
+        return await self._send(
+            head._replace(
+                target=target, internal=head.internal or target.internal
+            ),
+            CallBody(call.body),
+        )
+
+    async def _send(self, head: CallHead, body: CallBody) -> Outcome:
+        if head.target.idempotent or head.booking_key:
+            return await self.caller.call(head, body)
+        tried: set[str] = set()
+        outcome: Outcome = Failure(create_no_server(head.service))
+        for _ in range(MAX_TICKETS):
+            choice = self.caller.view_of(head.service).choose(now_ms(), tried)
+            if choice is None:
+                break
+            member = choice.candidate.member
+            tried.add(member.daemon_id)
+            key = format_ticket(make_ticket(member))
+            keyed = head._replace(
+                booking_key=key, headers=(*head.headers, (BOOKING_KEY, key))
+            )
+            outcome = await self.caller.call(keyed, body, is_new_key=True)
+            if not is_certainly_not_run(outcome):
+                break
+        return outcome
+
+    def _create_head(self, call: ClientCall, deadline_ms: float) -> CallHead:
+        depth = call.parent.get(DEPTH, '0')
+        headers = call.headers
+        if call.booking_key:
+            headers = (*headers, (BOOKING_KEY, call.booking_key))
+        return CallHead(
+            call.service,
+            call.method,
+            call.path,
+            headers,
+            f'{self.rng.getrandbits(REQUEST_ID_BITS):032x}',
+            deadline_ms,
+            Target(''),
+            int(depth) if depth.isdecimal() else 0,
+            call.parent.get(INTERNAL) == '1',
+            call.booking_key,
+        )
+
+
+async def read_whole(answer: CallAnswer) -> bytes:
+    """Read the whole body of an answer.
+
+    Raises:
+        CutShortError: The rest of the answer did not arrive.
+    """
+    if answer.rest is None:
+        return answer.body
+    try:
+        chunks = [chunk async for chunk in answer.rest]
+    finally:
+        answer.rest.close()
+    return b''.join((answer.body, *chunks))
+
+
+def is_certainly_not_run(outcome: Outcome) -> bool:
+    """Tell whether a booking may be made again with a new key."""
+    if isinstance(outcome, Success):
+        return False
+    return outcome.failure().verdict is Verdict.NOT_RUN
+
+
+def now_ms() -> float:
+    """Return the monotonic time in milliseconds."""
+    return monotonic() * MS_PER_S
--- /dev/null
+++ b/bergamotshunt/directory_documents.py
@@ -0,0 +1,40 @@
+"""Documents by which clients learn the servers of a service."""
+
+from typing import Final, TypedDict
+
+from bergamotshunt.members import Member
+from bergamotshunt.targets import ServiceTargets
+
+DIRECTORY_PATH: Final = '/bergamotshunt/directory'
+
+
+class DirectoryRequest(TypedDict):
+    """Question for the servers of one service.
+
+    Attributes:
+        service: Name of the service.
+        version: Version that the client holds, or empty.
+        wait_ms: How long the daemon may wait for a newer one.
+    """
+
+    service: str
+    version: str
+    wait_ms: int
+
+
+class DirectoryReply(TypedDict):
+    """Servers and targets of one service.
+
+    Attributes:
+        version: Changes with everything else; only compared for equality.
+        refusal: Why this daemon does not serve, or empty.
+        revision: Revision of the targets in force.
+        targets: Targets of the service, or None when there are none.
+        members: Members of the service, in any state.
+    """
+
+    version: str
+    refusal: str
+    revision: int
+    targets: ServiceTargets | None
+    members: list[Member]
--- a/bergamotshunt/messages.py
+++ b/bergamotshunt/messages.py
@@ -317,3 +317,19 @@
 
 class DescribeTask(NamedTuple):
     """Question to every task: its part of the daemon's status."""
+
+
+class DescribeService(NamedTuple):
+    """Question to the directory: servers and targets of a service.
+
+    The reply is a ``DirectoryReply``.
+
+    Attributes:
+        service: Name of the service.
+        version: Version that the client holds, or empty.
+        wait_ms: How long to wait for a newer version.
+    """
+
+    service: str
+    version: str
+    wait_ms: int
--- /dev/null
+++ b/bergamotshunt/plugins/directory.py
@@ -0,0 +1,146 @@
+"""Directory: tells clients the servers and targets of a service."""
+
+from asyncio import Event, timeout
+from collections import Counter
+from contextlib import suppress
+from typing import Any, Final
+
+from msgspec.json import decode, encode
+
+from bergamotshunt.directory_documents import (
+    DIRECTORY_PATH,
+    DirectoryReply,
+    DirectoryRequest,
+)
+from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Post, Task
+from bergamotshunt.messages import (
+    ConfirmationChanged,
+    DescribeService,
+    DescribeTask,
+    MembersChanged,
+    TargetsChanged,
+)
+from bergamotshunt.peer_api import PEER_ENDPOINTS
+from bergamotshunt.service_index import ServiceIndex
+from bergamotshunt.targets import TargetSet
+
+HANDLERS: Final = HandlerTable()
+MS_PER_S: Final = 1000
+# Below the time after which a question between tasks fails.
+MAX_WAIT_MS: Final = 5000
+
+
+class DirectoryTask(Task):
+    """Owns a copy of members and targets, with a version by service."""
+
+    name = 'directory'
+    handlers = HANDLERS
+
+    def __init__(self, context: Context) -> None:
+        """Create the task without members."""
+        super().__init__(context)
+        self.index = ServiceIndex()
+        self.target_set = TargetSet(0, {})
+        self.refusal = 'this daemon has not learned the targets yet'
+        self.version_by_service = Counter[str]()
+        self.common_version = 0
+        self.changed_by_service: dict[str, Event] = {}
+
+    def version_of(self, service: str) -> str:
+        """Return what changes with all that is told of a service."""
+        version = self.version_by_service[service]
+        return f'{self.context.process_id}.{self.common_version}.{version}'
+
+    def note_services(self, services: set[str]) -> None:
+        """Give services a new version and wake those who wait."""
+        for service in services:
+            self.version_by_service[service] += 1
+            waiting = self.changed_by_service.pop(service, None)
+            if waiting is not None:
+                waiting.set()
+
+    def note_all(self) -> None:
+        """Give every service a new version."""
+        self.common_version += 1
+        self.note_services(set(self.changed_by_service))
+
+    async def wait_for_change(self, service: str, wait_ms: int) -> None:
+        """Wait until a service has a new version, or for some time."""
+        changed = self.changed_by_service.setdefault(service, Event())
+        with suppress(TimeoutError):
+            async with timeout(min(wait_ms, MAX_WAIT_MS) / MS_PER_S):
+                await changed.wait()
+
+    def describe_service(self, service: str) -> DirectoryReply:
+        """Return what is known of a service."""
+        return DirectoryReply(
+            version=self.version_of(service),
+            refusal=self.refusal,
+            revision=self.target_set.revision,
+            targets=self.target_set.by_service.get(service),
+            members=self.index.members_of(service),
+        )
+
+
+@HANDLERS.on(MembersChanged)
+def update_members(task: DirectoryTask, message: MembersChanged) -> None:
+    """Take over the known members."""
+    task.note_services(
+        task.index.update(message.members_by_id, message.changed_ids)
+    )
+
+
+@HANDLERS.on(TargetsChanged)
+def update_targets(task: DirectoryTask, message: TargetsChanged) -> None:
+    """Take over newer targets."""
+    is_first = not task.target_set.revision
+    task.target_set = message.target_set
+    if is_first:
+        task.refusal = ''
+    task.note_all()
+
+
+@HANDLERS.on(ConfirmationChanged)
+def update_confirmation(
+    task: DirectoryTask, message: ConfirmationChanged
+) -> None:
+    """Tell clients whether this daemon may serve."""
+    unconfirmed = message.detail or 'the targets are not confirmed'
+    task.refusal = '' if message.confirmed else unconfirmed
+    task.note_all()
+
+
+@HANDLERS.on(DescribeService)
+async def describe_service(
+    task: DirectoryTask, message: DescribeService
+) -> DirectoryReply:
+    """Answer a client, at once when its version is old."""
+    if message.version == task.version_of(message.service):
+        await task.wait_for_change(message.service, message.wait_ms)
+    return task.describe_service(message.service)
+
+
+@HANDLERS.on(DescribeTask)
+def describe(task: DirectoryTask, _message: DescribeTask) -> dict[str, Any]:
+    """Describe the directory for the daemon's status."""
+    return {'directory': {'followed': len(task.changed_by_service)}}
+
+
+@PEER_ENDPOINTS.register(DIRECTORY_PATH)
+async def serve_directory(post: Post, body: bytes) -> bytes:
+    """Answer a client that asks for the servers of a service."""
+    request = decode(body, type=DirectoryRequest)
+    return encode(
+        await post.ask(
+            DescribeService(
+                request['service'], request['version'], request['wait_ms']
+            ),
+            timeout_s=2 * MAX_WAIT_MS / MS_PER_S,
+        )
+    )
+
+
+@PLUGINS.register('directory')
+def create_directory(context: Context) -> DirectoryTask:
+    """Create the directory task."""
+    return DirectoryTask(context)
--- /dev/null
+++ b/bergamotshunt/roundabout.py
@@ -0,0 +1,90 @@
+"""Calls through the callers port of a daemon, when a client must."""
+
+from collections.abc import Callable
+
+from returns.result import Failure, Success
+
+from bergamotshunt.answer_reading import take_answer
+from bergamotshunt.attempts import create_late_refusal
+from bergamotshunt.calling import Outcome
+from bergamotshunt.calls import CallHead
+from bergamotshunt.decisions.deadlines import attempt_timeout_ms
+from bergamotshunt.headers import DEADLINE_MS, DEPTH, INTERNAL, REQUEST_ID
+from bergamotshunt.transport import HttpRequest, Sender
+from bergamotshunt.verdicts import Verdict, create_refusal
+
+
+class CallersPorts:
+    """Callers ports of some daemons, each an entry of its own.
+
+    Args:
+        sender: Connections.
+        callers: Callers ports (``IP:port``).
+        clock_ms: Monotonic time in milliseconds.
+        body_buffer_bytes: Larger answers are streamed.
+    """
+
+    def __init__(
+        self,
+        sender: Sender,
+        callers: tuple[str, ...],
+        clock_ms: Callable[[], float],
+        body_buffer_bytes: int,
+    ) -> None:
+        """Create the ports without connections."""
+        self.sender = sender
+        self.callers = callers
+        self.clock_ms = clock_ms
+        self.body_buffer_bytes = body_buffer_bytes
+
+    async def call(self, head: CallHead, body: bytes, refusal: str) -> Outcome:
+        """Send a call to one port after another while it was not run.
+
+        Args:
+            head: The call.
+            body: Its whole body.
+            refusal: Why the call is not sent directly.
+        """
+        detail = refusal or 'the key has to be claimed by a daemon'
+        outcome: Outcome = Failure(
+            create_refusal(
+                'no-callers-port', f'{detail}; no callers port is known'
+            )
+        )
+        for caller in self.callers:
+            outcome = await self._send(caller, head, body)
+            if isinstance(outcome, Success):
+                break
+            if outcome.failure().verdict is not Verdict.NOT_RUN:
+                break
+        return outcome
+
+    async def _send(self, caller: str, head: CallHead, body: bytes) -> Outcome:
+        timeout_ms = attempt_timeout_ms(head.deadline_ms, self.clock_ms())
+        if timeout_ms is None:
+            return Failure(create_late_refusal())
+        headers = [
+            *head.headers,
+            (REQUEST_ID, head.request_id),
+            (DEADLINE_MS, str(int(timeout_ms))),
+            (DEPTH, str(head.depth)),
+            (INTERNAL, str(int(head.internal))),
+        ]
+        opened = await self.sender.open(
+            HttpRequest(
+                head.method,
+                f'http://{caller}/{head.service}{head.path}',
+                headers,
+                body,
+                timeout_ms,
+            )
+        )
+        if isinstance(opened, Failure):
+            return Failure(opened.failure())
+        return await take_answer(
+            opened.unwrap(), head.request_id, self.body_buffer_bytes, ignore
+        )
+
+
+def ignore(_is_whole: bool | None) -> None:
+    """Ignore the end of a streamed answer: nothing counts it."""
--- a/bergamotshunt/tests/peers.py
+++ b/bergamotshunt/tests/peers.py
@@ -149,7 +149,7 @@
     length: int | None = None,
     request_id: str = '',
     headers: str = '',
-    close: bool = False,
+    close: bool | None = None,
 ) -> Script:
     """Answer; ``length`` may be larger than the body, then it is cut."""
 
@@ -170,7 +170,7 @@
             + body
         )
         await writer.drain()
-        if close or size != len(body):
+        if close or (close is None and size != len(body)):
             writer.close()
 
     return script
--- a/bergamotshunt/tests/test_calling.py
+++ b/bergamotshunt/tests/test_calling.py
@@ -236,11 +236,11 @@
         async with CallBench(peer) as bench:
             answer = answer_of(await bench.call(bench.head()))
             assert answer.rest is not None
-            await anext(answer.rest)
             view = bench.caller.view_of(SERVICE)
             assert view.near[0].own_in_flight == 1
-            await answer.rest.aclose()
+            answer.rest.close()
             assert view.near[0].own_in_flight == 0
+            await asyncio.wait_for(peer.lost.wait(), 5)
 
     run(work())
 
--- /dev/null
+++ b/bergamotshunt/tests/test_client.py
@@ -0,0 +1,176 @@
+"""The client library against a real guard, directory and entry."""
+
+import asyncio
+from collections.abc import Coroutine
+from random import Random
+
+from returns.result import Failure, Success
+from uuid6 import uuid7
+
+from bergamotshunt.client import Client, ClientCall, read_whole
+from bergamotshunt.kernel import Context, Kernel, Post
+from bergamotshunt.members import Member, ServerState
+from bergamotshunt.messages import (
+    ConfirmationChanged,
+    HealthObserved,
+    MembersChanged,
+    TargetsChanged,
+)
+from bergamotshunt.settings import (
+    BackendServerSettings,
+    DaemonSettings,
+    Settings,
+)
+from bergamotshunt.targets import TargetSet
+from bergamotshunt.tests.peers import SERVICE, TARGETS, Peer, reply
+from bergamotshunt.verdicts import Verdict
+from bergamotshunt.web import HttpServer
+from standins.backend import BackendStandIn
+
+PLUGINS = ('guard', 'directory', 'entry')
+BALANCE = ClientCall('GET', SERVICE, '/balances/7')
+REFUND = ClientCall('POST', SERVICE, '/refunds', body=b'{"jars": 2}')
+
+
+def run(work: Coroutine[None, None, None]) -> None:
+    asyncio.run(asyncio.wait_for(work, 30))
+
+
+class DaemonBench:
+    """One daemon without membership and platform, and its backend server."""
+
+    async def __aenter__(self) -> 'DaemonBench':
+        self.stand_in = BackendStandIn('s1')
+        self.backend = HttpServer(self.stand_in, '127.0.0.1', 0)
+        await self.backend.open()
+        settings = Settings(
+            daemon=DaemonSettings(id='d1'),
+            backend_server=BackendServerSettings(
+                SERVICE, f'http://127.0.0.1:{self.backend.port}'
+            ),
+        )
+        self.kernel = Kernel(Context(settings, Post(), Random(1), 5), PLUGINS)
+        await self.kernel.start()
+        self.publish = self.kernel.context.post.publish
+        self.peers_port = self.kernel.ports_by_kind['peers']
+        self.callers = f'127.0.0.1:{self.kernel.ports_by_kind["callers"]}'
+        self.publish(TargetsChanged(TARGETS))
+        self.publish(HealthObserved(True))
+        self.member = Member(
+            'd1',
+            1,
+            '127.0.0.1',
+            self.peers_port,
+            1,
+            'r',
+            'z',
+            SERVICE,
+            ServerState.SERVING,
+            process_id=5,
+        )
+        self.publish(MembersChanged({'d1': self.member}))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.kernel.stop()
+        await self.backend.close()
+
+    def client(self, **options: object) -> Client:
+        peers = ('127.0.0.1:1', f'127.0.0.1:{self.peers_port}')
+        return Client(peers, seed=1, **options)  # type: ignore[arg-type]
+
+
+def test_client_calls_a_guard_directly_and_books_once() -> None:
+    """Guards against a library that cannot do what an entry does."""
+
+    async def work() -> None:
+        async with DaemonBench() as bench, bench.client() as client:
+            answer = (await client.call(BALANCE)).unwrap()
+            assert answer.status == 200
+            assert b'/balances/7' in await read_whole(answer)
+            booked = (await client.call(REFUND)).unwrap()
+            assert booked.status < 300
+            (key,) = bench.stand_in.executions_by_key
+            again = await client.call(REFUND._replace(booking_key=key))
+            assert (b'bergamotshunt-replayed', b'true') in (
+                again.unwrap().headers
+            )
+            assert again.unwrap().body == booked.body
+            assert bench.stand_in.executions_by_key[key] == 1
+
+    run(work())
+
+
+def test_client_learns_changes_from_the_directory() -> None:
+    """Guards against a client that keeps to old servers or targets."""
+
+    async def work() -> None:
+        other = await Peer('d2', reply(b'from d2')).open()
+        async with DaemonBench() as bench, bench.client() as client:
+            assert isinstance(await client.call(BALANCE), Success)
+            down = bench.member._replace(server_state=ServerState.DOWN)
+            bench.publish(MembersChanged({'d1': down, 'd2': other.member()}))
+            body = b''
+            while body != b'from d2':
+                body = (await client.call(BALANCE)).unwrap().body
+            bench.publish(TargetsChanged(TargetSet(2, {})))
+            outcome = await client.call(BALANCE)
+            while isinstance(outcome, Success):
+                outcome = await client.call(BALANCE)
+            assert outcome.failure().reason == 'unknown-service'
+        await other.close()
+
+    run(work())
+
+
+def test_client_falls_back_to_a_callers_port() -> None:
+    """Guards against calls that fail while another way is open."""
+
+    async def work() -> None:
+        async with DaemonBench() as bench:
+            nowhere = Client(('127.0.0.1:1',), (bench.callers,), seed=1)
+            async with nowhere as client:
+                call = BALANCE._replace(deadline_ms=1000)
+                assert isinstance(await client.call(call), Success)
+                # Keys that are no tickets are claimed by a daemon; this
+                # one has no claims task.
+                claimed = REFUND._replace(booking_key=str(uuid7()))
+                outcome = await client.call(claimed)
+                assert isinstance(outcome, Failure)
+                assert outcome.failure().reason == 'bookings-unavailable'
+                assert outcome.failure().verdict is Verdict.NOT_RUN
+
+    run(work())
+
+
+def test_client_does_not_call_by_unconfirmed_targets() -> None:
+    """Guards against a client that serves where a daemon must not."""
+
+    async def work() -> None:
+        async with DaemonBench() as bench, bench.client() as client:
+            assert isinstance(await client.call(BALANCE), Success)
+            bench.publish(ConfirmationChanged(False, 'cut off'))
+            outcome = await client.call(BALANCE)
+            while outcome.failure().reason != 'no-callers-port':
+                outcome = await client.call(BALANCE)
+                assert isinstance(outcome, Failure)
+            assert 'cut off' in outcome.failure().detail
+
+    run(work())
+
+
+def test_client_makes_a_new_ticket_when_its_owner_is_gone() -> None:
+    """Guards against a booking that fails with one dead server."""
+
+    async def work() -> None:
+        gone = await Peer('d0').open()
+        await gone.close()
+        async with DaemonBench() as bench, bench.client() as client:
+            members = {'d0': gone.member(), 'd1': bench.member}
+            bench.publish(MembersChanged(members))
+            for _ in range(6):
+                outcome = await client.call(REFUND)
+                assert isinstance(outcome, Success), outcome
+            assert set(bench.stand_in.executions_by_key.values()) == {1}
+
+    run(work())
--- a/bergamotshunt/transport.py
+++ b/bergamotshunt/transport.py
@@ -1,6 +1,6 @@
 """HTTP client of the daemon: one request to one server, with a verdict."""
 
-from collections.abc import AsyncIterable, AsyncIterator, Iterable, Mapping
+from collections.abc import AsyncIterable, Iterable, Mapping
 from http import HTTPStatus
 from types import TracebackType
 from typing import Any, Final, NamedTuple, Self, cast
@@ -163,14 +163,13 @@
         """Tell whether the whole body was received and read."""
         return self._response.content.at_eof()
 
-    async def iterate(self) -> AsyncIterator[bytes]:
-        """Yield the rest of the body.
+    async def read_some(self) -> bytes:
+        """Return the next chunk of the body, or nothing at its end.
 
         Raises:
             OSError, ClientError, TimeoutError: The body was cut short.
         """
-        async for chunk in self._response.content.iter_any():
-            yield chunk
+        return await self._response.content.readany()
 
     def drop(self) -> None:
         """Close the connection because the answer is not to this request.
