--- a/bergamotshunt/call_heads.py
+++ b/bergamotshunt/call_heads.py
@@ -49,9 +49,9 @@
 _ID = compile_pattern('[A-Za-z0-9._:-]{1,128}', ASCII)
 # What a term of a call looks like, and how that is told to the caller.
 TERMS: Final = {
-    DEPTH: (compile_pattern('[0-9]{1,4}'), 'a number from 0 to 9999'),
-    INTERNAL: (compile_pattern('[01]'), '0 or 1'),
-    BOOKING_KEY: (
+    DEPTH.encode(): (compile_pattern('[0-9]{1,4}'), 'a number from 0 to 9999'),
+    INTERNAL.encode(): (compile_pattern('[01]'), '0 or 1'),
+    BOOKING_KEY.encode(): (
         compile_pattern('[!-~]{1,255}'),
         '1 to 255 visible characters',
     ),
@@ -87,6 +87,22 @@
     plain: str
 
 
+class Terms(NamedTuple):
+    """Terms of a call that its caller states.
+
+    Attributes:
+        time_ms: Time until the caller gives up.
+        depth: Number of calls above this one in its call tree.
+        internal: Whether the call is an internal check.
+        booking_key: Idempotency key, or empty.
+    """
+
+    time_ms: int
+    depth: int
+    internal: bool
+    booking_key: str
+
+
 def measure_head(scope: Any) -> int:
     """Return the bytes of the path, the query string and all headers."""
     size = len(scope['raw_path']) + len(scope['query_string'])
@@ -133,29 +149,45 @@
 
 
 def read_path(scope: Any) -> Result[RequestPath, CallFailure]:
-    """Split the path of a request and decode what decides on the target.
-
-    A server decodes escapes before it acts on a path, so the target is
-    found by the decoded path; otherwise an escape would let a booking
-    pass as another class of work.
-    """
+    """Split the path of a request and decode what decides on the target."""
     raw = scope['raw_path'].decode('latin-1')
     service, _, rest = raw.removeprefix('/').partition('/')
-    plain = f'/{rest}'
-    if '%' in raw:
-        if _BAD_ESCAPE.search(raw):
+    if '%' in service:
+        return malformed('the name of the service has an escape')
+    decoded = scope['path'].removeprefix('/').partition('/')[2]
+    plain = normalize_path(f'/{rest}', f'/{decoded}')
+    if isinstance(plain, Failure):
+        return Failure(plain.failure())
+    query = scope['query_string'].decode('latin-1')
+    return Success(
+        RequestPath(
+            service,
+            f'/{rest}?{query}' if query else f'/{rest}',
+            plain.unwrap(),
+        )
+    )
+
+
+def normalize_path(encoded: str, decoded: str) -> Result[str, CallFailure]:
+    """Return the path by which the target is found.
+
+    A server decodes escapes and joins slashes before it acts on a path;
+    by the path as received, a booking could pass as another class.
+
+    Args:
+        encoded: Path below the service as received.
+        decoded: The same path with its escapes decoded.
+    """
+    plain = encoded
+    if '%' in encoded:
+        if _BAD_ESCAPE.search(encoded):
             return malformed('the path has a malformed percent-escape')
-        if '%' in service:
-            return malformed('the name of the service has an escape')
-        plain = f'/{scope["path"].removeprefix("/").partition("/")[2]}'
+        plain = decoded
     if '.' in plain and _DOT_SEGMENT.search(plain):
         return malformed('the path has a dot segment')
     if '//' in plain:
         plain = sub('/{2,}', '/', plain)
-    query = scope['query_string'].decode('latin-1')
-    return Success(
-        RequestPath(service, f'/{rest}?{query}' if query else f'/{rest}', plain)
-    )
+    return Success(plain)
 
 
 def find_target(
@@ -198,25 +230,39 @@
     target = find_target(by_service, scope['method'], path.unwrap())
     if isinstance(target, Failure):
         return Failure(target.failure())
-    head = CallHead(
-        path.unwrap().service,
-        scope['method'],
-        path.unwrap().encoded,
-        headers.passed,
-        request_id,
-        now_ms,
-        target.unwrap(),
+    terms = read_terms(headers.read, settings)
+    if isinstance(terms, Failure):
+        return Failure(terms.failure())
+    found = target.unwrap()
+    split = path.unwrap()
+    time_ms, depth, internal, booking_key = terms.unwrap()
+    return Success(
+        CallHead(
+            split.service,
+            scope['method'],
+            split.encoded,
+            headers.passed,
+            request_id,
+            now_ms + time_ms,
+            found,
+            depth,
+            internal or found.internal,
+            booking_key,
+        ),
     )
-    return read_terms(head, headers.read, settings)
 
 
 def read_terms(
-    head: CallHead, read: Mapping[bytes, bytes], settings: CallsSettings
-) -> Result[CallHead, CallFailure]:
+    read: Mapping[bytes, bytes], settings: CallsSettings
+) -> Result[Terms, CallFailure]:
     """Read deadline, depth, internal mark and booking key of a request."""
-    terms = {
-        name.decode(): text.decode('latin-1') for name, text in read.items()
-    }
+    terms: dict[str, str] = {}
+    for name, text in read.items():
+        pattern, allowed = TERMS.get(name, ANY_TEXT)
+        term = text.decode('latin-1')
+        if pattern.fullmatch(term) is None:
+            return malformed(f'{name.decode()} must be {allowed}')
+        terms[name.decode()] = term
     time_ms = parse_deadline_ms(
         terms.get(DEADLINE_MS),
         settings.default_deadline_ms,
@@ -224,10 +270,6 @@
     )
     if time_ms is None:
         return malformed(f'{DEADLINE_MS} must be a whole number')
-    for name, text in terms.items():
-        pattern, allowed = TERMS.get(name, ANY_TEXT)
-        if pattern.fullmatch(text) is None:
-            return malformed(f'{name} must be {allowed}')
     depth = int(terms.get(DEPTH, '0'))
     if depth > MAX_DEPTH:
         return Failure(
@@ -238,11 +280,11 @@
             ),
         )
     return Success(
-        head._replace(
-            deadline_ms=head.deadline_ms + time_ms,
-            depth=depth,
-            internal=terms.get(INTERNAL) == '1' or head.target.internal,
-            booking_key=terms.get(BOOKING_KEY, ''),
+        Terms(
+            time_ms,
+            depth,
+            terms.get(INTERNAL) == '1',
+            terms.get(BOOKING_KEY, ''),
         ),
     )
 
