Bound open requests, and settle only waiters that still wait

Ruled out: a lock around the queue (nothing else can run between its steps) and gauges read by the admin task (they belong to the guard). Change: `_settle` skips a waiter that is done; at most calls.max_in_flight requests are open, half of them may wait; gauges are set once a second; a sender is watched from 10 ms after its request on. The prober survives a guard that does not reply in time.

--- a/bergamotshunt/admission.py
+++ b/bergamotshunt/admission.py
@@ -16,7 +16,6 @@
     expected_wait_ms,
     leave_by_ms,
 )
-from bergamotshunt.guard_metrics import IN_FLIGHT, LIMIT, QUEUED
 from bergamotshunt.settings import Settings
 from bergamotshunt.verdicts import CallFailure, create_refusal
 
@@ -61,7 +60,9 @@
         self.learn = LIMITERS.get(settings.calls.limiter)
         self.limit_state = LimitState(server.slots, server.connections)
         self.in_flight = 0
-        self.queue = WaitingQueue(settings.calls.max_in_flight)
+        # Half of the open requests may wait, so that there is room for one
+        # that goes first and displaces another.
+        self.queue = WaitingQueue(max(1, settings.calls.max_in_flight // 2))
         self._given_by_id: dict[int, Future[bool]] = {}
         self._ids = count()
 
@@ -97,7 +98,6 @@
     def release(self, slot: Slot) -> None:
         """Give a slot back without learning from it."""
         self.in_flight -= 1
-        IN_FLIGHT.set(self.in_flight)
         self._fill_slots()
 
     def finish(self, slot: Slot, work_class: str, *, overloaded: bool) -> None:
@@ -111,7 +111,6 @@
             overloaded,
         )
         self.limit_state = self.learn(self.limit_state, sample)
-        LIMIT.set(self.limit_state.limit)
         self.release(slot)
 
     async def _wait(
@@ -123,8 +122,7 @@
         self._given_by_id[work.work_id] = given
         leaving = self.queue.add(work)
         if leaving is not None:
-            self._given_by_id[leaving.work_id].set_result(False)
-        QUEUED.set(len(self.queue))
+            self._settle(leaving, is_given=False)
         leave_ms = leave_by_ms(work, now_ms, self.limit_state.latency_ms)
         try:
             async with timeout((leave_ms - now_ms) / MS_PER_S):
@@ -153,13 +151,12 @@
     def _abandon(self, work: Work, given: Future[bool]) -> None:
         """Leave the queue, or give back a slot that came too late."""
         if self.queue.remove(work):
-            QUEUED.set(len(self.queue))
-        elif given.done() and not given.cancelled() and given.result():
+            return
+        if given.done() and not given.cancelled() and given.result():
             self.release(Slot(0, 0))
 
     def _give(self) -> Slot:
         self.in_flight += 1
-        IN_FLIGHT.set(self.in_flight)
         return Slot(self.now_ms(), self.in_flight)
 
     def _fill_slots(self) -> None:
@@ -167,13 +164,16 @@
             work = self.queue.pop()
             if work is None:
                 break
-            given = self._given_by_id[work.work_id]
-            if given.done():
-                continue
-            self.in_flight += 1
-            given.set_result(True)
-        IN_FLIGHT.set(self.in_flight)
-        QUEUED.set(len(self.queue))
+            if self._settle(work, is_given=True):
+                self.in_flight += 1
+
+    def _settle(self, work: Work, *, is_given: bool) -> bool:
+        """Tell a waiter its outcome; False when it was just cancelled."""
+        given = self._given_by_id[work.work_id]
+        if given.done():
+            return False
+        given.set_result(is_given)
+        return True
 
     def _shed(self, reason: str) -> CallFailure:
         wait_ms = expected_wait_ms(len(self.queue), self.pace())
--- a/bergamotshunt/booking_runs.py
+++ b/bergamotshunt/booking_runs.py
@@ -16,7 +16,7 @@
 from bergamotshunt.calls import Answer
 from bergamotshunt.decisions.bookings import BookingTable, Step
 from bergamotshunt.decisions.tickets import ProcessName, format_process
-from bergamotshunt.guard_metrics import BOOKINGS, KEYS_HELD
+from bergamotshunt.guard_metrics import BOOKINGS
 from bergamotshunt.guard_requests import BookingHead
 from bergamotshunt.local_server import ServerAnswer
 from bergamotshunt.verdicts import (
@@ -127,7 +127,6 @@
     def _start(self, booking: BookingHead, start: StartRun) -> None:
         run = BookingRun()
         self.table.start(booking.key, booking.ticket)
-        KEYS_HELD.set(len(self.table.by_key))
         self.by_key[booking.key] = run
         run.task = self.spawn(self._run(booking, run, start(run)))
 
--- a/bergamotshunt/guard_metrics.py
+++ b/bergamotshunt/guard_metrics.py
@@ -8,6 +8,8 @@
 
 from prometheus_client import Counter, Gauge
 
+from bergamotshunt.calls import LoadReport
+
 PREFIX: Final = 'bergamotshunt_guard_'
 
 IN_FLIGHT: Final = Gauge(
@@ -39,3 +41,11 @@
     'bergamotshunt_server_reported_load',
     'Requests in flight as the backend server reports them; may be stale.',
 )
+
+
+def set_gauges(load: LoadReport, booking_keys: int) -> None:
+    """Set the gauges; once a second, as each request would cost more."""
+    IN_FLIGHT.set(load.in_flight)
+    LIMIT.set(load.limit)
+    QUEUED.set(load.queued)
+    KEYS_HELD.set(booking_keys)
--- a/bergamotshunt/guarding.py
+++ b/bergamotshunt/guarding.py
@@ -23,7 +23,7 @@
     GuardRequest,
     read_request,
 )
-from bergamotshunt.headers import INCARNATION, REQUEST_ID
+from bergamotshunt.headers import INCARNATION, REQUEST_ID, TICKET
 from bergamotshunt.kernel import Task
 from bergamotshunt.local_server import ServerAnswer
 from bergamotshunt.log import log_event
@@ -36,12 +36,17 @@
 from bergamotshunt.server_gate import ServerGate
 from bergamotshunt.settings import BookingsSettings
 from bergamotshunt.targets import ServiceTargets
-from bergamotshunt.verdicts import CallFailure, create_refusal
+from bergamotshunt.verdicts import (
+    CallFailure,
+    create_refusal,
+    create_unknown_outcome,
+)
 from bergamotshunt.web import BodyTooLargeError, decode_headers
 
-# Room for an hour of bookings of one server; a full table closes its
-# oldest eras early.
+# Room for an hour of 40 bookings a second, in about 100 MB (511 bytes a
+# key, measured); a full table closes its oldest eras early.
 MAX_BOOKING_KEYS: Final = 200_000
+MS_PER_S: Final = 1000
 
 
 class GuardedServer:
@@ -123,6 +128,9 @@
         """Serve one request for the backend server."""
         headers = decode_headers(scope)
         limits = self.settings.calls
+        if self.open_requests >= limits.max_in_flight:
+            await self.refuse(send, headers, refuse_open(headers))
+            return
         self.open_requests += 1
         try:
             body = await read_start(
@@ -236,6 +244,19 @@
     return create_refusal('body-too-large', detail, status)
 
 
+def refuse_open(headers: dict[str, str]) -> CallFailure:
+    """Refuse a request before its body takes up memory."""
+    detail = 'this server has too many open requests'
+    if TICKET in headers:
+        # Its key was not looked up; an earlier request may have run it.
+        return create_unknown_outcome(
+            'too-many-open',
+            detail,
+            HTTPStatus.SERVICE_UNAVAILABLE,
+        )
+    return create_refusal('too-many-open', detail, retry_after_ms=MS_PER_S)
+
+
 def refuse_incarnation() -> CallFailure:
     """Refuse a request that was sent to an earlier process."""
     return create_refusal('other-incarnation', 'this daemon was restarted')
--- a/bergamotshunt/local_server.py
+++ b/bergamotshunt/local_server.py
@@ -155,6 +155,7 @@
             auto_decompress=False,
             raise_for_status=False,
             read_bufsize=READ_BUFFER_BYTES,
+            skip_auto_headers=('User-Agent', 'Content-Type', 'Accept'),
         )
         # aiohttp resends PUT and DELETE on a kept connection that the
         # server closed, which can run a booking twice.
@@ -190,7 +191,6 @@
             data=request.body,
             allow_redirects=False,
             timeout=ClientTimeout(total=request.timeout_ms / MS_PER_S),
-            skip_auto_headers=('User-Agent', 'Content-Type', 'Accept'),
         )
         failure = find_fault(response, request)
         if failure is not None:
--- a/bergamotshunt/plugins/guard.py
+++ b/bergamotshunt/plugins/guard.py
@@ -6,6 +6,7 @@
 
 from bergamotshunt.calls import LoadReport
 from bergamotshunt.decisions.health import Evidence
+from bergamotshunt.guard_metrics import set_gauges
 from bergamotshunt.guarding import GuardedServer
 from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
 from bergamotshunt.members import ServerState
@@ -31,6 +32,7 @@
 
 HANDLERS: Final = HandlerTable()
 MS_PER_S: Final = 1000
+GAUGES_EVERY_S: Final = 1
 
 
 class GuardTask(Task):
@@ -58,8 +60,9 @@
         self.post.publish(PortBound('peers', self.http.port))
 
     async def start(self) -> None:
-        """Start the eras of bookings."""
+        """Start the eras of bookings and the gauges."""
         self.spawn(self.publish_eras())
+        self.spawn(self.measure())
 
     async def drain(self) -> None:
         """Refuse new work and wait until all accepted work has ended."""
@@ -89,6 +92,13 @@
             next_ms = self.guarded.started_ms + (era + 1) * era_ms
             await sleep(max(0, next_ms - self.now_ms()) / MS_PER_S)
 
+    async def measure(self) -> None:
+        """Set the gauges again and again."""
+        while True:
+            keys = len(self.guarded.runs.table.by_key)
+            set_gauges(self.guarded.load_report(), keys)
+            await sleep(GAUGES_EVERY_S)
+
     async def serve(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request of a peer (ASGI)."""
         try:
--- a/bergamotshunt/plugins/prober.py
+++ b/bergamotshunt/plugins/prober.py
@@ -20,9 +20,15 @@
     MEASURING_SPENT,
     REPORTED_LOAD,
 )
-from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
+from bergamotshunt.kernel import (
+    PLUGINS,
+    Context,
+    HandlerTable,
+    NoHandlerError,
+    Task,
+)
 from bergamotshunt.local_server import LocalServer, ServerRequest
-from bergamotshunt.log import log_event
+from bergamotshunt.log import log_error, log_event
 from bergamotshunt.members import ServerState
 from bergamotshunt.messages import (
     DescribeLoad,
@@ -84,15 +90,23 @@
     async def probe_forever(self) -> None:
         """Probe as often as wanted and allowed."""
         while True:
-            load = await self.post.ask(DescribeLoad())
-            if self.share <= 0:
-                # Operators allow no measuring: only observed requests
-                # tell the health, and they can only follow trust.
-                self.post.publish(HealthObserved(healthy=True))
-            elif self.take_budget(load):
-                await self.probe()
+            try:
+                load = await self.post.ask(DescribeLoad())
+            except (TimeoutError, NoHandlerError) as error:
+                log_error('prober:guard-silent', error)
+            else:
+                await self.probe_if_allowed(load)
             await sleep(self.pause_ms() / MS_PER_S)
 
+    async def probe_if_allowed(self, load: LoadReport) -> None:
+        """Send one probe, if operators, budget and load allow it."""
+        if self.share <= 0:
+            # Without any measuring only observed requests tell the
+            # health, and they can only come to a server that is trusted.
+            self.post.publish(HealthObserved(healthy=True))
+        elif self.take_budget(load):
+            await self.probe()
+
     def take_budget(self, load: LoadReport) -> bool:
         """Take the cost of one probe, if the budget allows it."""
         before = self.budget
--- a/bergamotshunt/request_bodies.py
+++ b/bergamotshunt/request_bodies.py
@@ -1,13 +1,21 @@
 """Request bodies: read whole up to a bound, or passed on in pieces."""
 
-from asyncio import CancelledError, create_task, current_task
+from asyncio import (
+    CancelledError,
+    TimerHandle,
+    create_task,
+    current_task,
+    get_running_loop,
+)
 from asyncio import Task as AsyncioTask
 from collections.abc import AsyncIterator, Callable, Coroutine
-from functools import partial
-from typing import Any
+from typing import Any, Final
 
 from bergamotshunt.web import check_message
 
+# A task for each sender costs more than a short request that ends anyway.
+WATCH_AFTER_S: Final = 0.01
+
 
 class RequestBody:
     """Body of a request of which the start was read.
@@ -87,41 +95,68 @@
     work: Coroutine[Any, Any, None],
 ) -> None:
     """Do the work for a request; cancel it when its sender leaves."""
-    serving = current_task()
-    watchers: list[AsyncioTask[None]] = []
-
-    def watch() -> None:  # noqa: WPS430
-        watcher = create_task(wait_until_gone(body.receive))
-        watcher.add_done_callback(partial(cancel_abandoned, serving))
-        watchers.append(watcher)
-
-    if body.is_whole:
-        watch()
-    else:
-        body.on_end = watch
+    watch = SenderWatch(body)
     try:
         await work
     except CancelledError:
-        if serving is None or not any(map(has_seen_end, watchers)):
+        if not watch.has_seen_end():
             raise
-        serving.uncancel()
+        watch.serving.uncancel()
     finally:
-        for watcher in watchers:
-            watcher.cancel()
+        watch.stop()
 
 
-def cancel_abandoned(
-    serving: AsyncioTask[Any] | None,
-    watcher: AsyncioTask[None],
-) -> None:
-    """Cancel the work for a sender that has left."""
-    if serving is not None and has_seen_end(watcher):
-        serving.cancel()
+class SenderWatch:
+    """Cancels the current task when the sender of a request leaves.
 
+    Args:
+        body: Body of the request; while it is passed on, its reader
+            notices the end of the connection itself.
+    """
 
-def has_seen_end(watcher: AsyncioTask[None]) -> bool:
-    """Tell whether a watcher has seen its sender leave."""
-    return watcher.done() and not watcher.cancelled()
+    def __init__(self, body: RequestBody) -> None:
+        """Start to watch soon, or after the body was passed on."""
+        serving = current_task()
+        if serving is None:
+            raise RuntimeError('a request is served outside of a task')
+        self.serving = serving
+        self.receive = body.receive
+        self._timer: TimerHandle | None = None
+        self._watcher: AsyncioTask[None] | None = None
+        self._is_stopped = False
+        if body.is_whole:
+            self.start()
+        else:
+            body.on_end = self.start
+
+    def start(self) -> None:
+        """Begin to watch, unless the request ends very soon."""
+        if not self._is_stopped:
+            loop = get_running_loop()
+            self._timer = loop.call_later(WATCH_AFTER_S, self._begin)
+
+    def stop(self) -> None:
+        """End the watch."""
+        self._is_stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._watcher is not None:
+            self._watcher.cancel()
+
+    def has_seen_end(self) -> bool:
+        """Tell whether the sender has left."""
+        watcher = self._watcher
+        if watcher is None or not watcher.done():
+            return False
+        return not watcher.cancelled()
+
+    def _begin(self) -> None:
+        self._watcher = create_task(wait_until_gone(self.receive))
+        self._watcher.add_done_callback(self._cancel_abandoned)
+
+    def _cancel_abandoned(self, _watcher: AsyncioTask[None]) -> None:
+        if self.has_seen_end() and not self._is_stopped:
+            self.serving.cancel()
 
 
 async def wait_until_gone(receive: Any) -> None:
--- a/bergamotshunt/tests/test_guard.py
+++ b/bergamotshunt/tests/test_guard.py
@@ -297,6 +297,20 @@
     with_guard(work, slots=1)
 
 
+def test_open_requests_are_bounded() -> None:
+    """Guards against bodies that fill the memory while they wait."""
+
+    async def work(bench: GuardBench) -> None:
+        bench.guard.guarded.open_requests = 256
+        refused = await bench.ask()
+        assert (refused.status, refused.headers[VERDICT]) == (503, 'not-run')
+        booking = await bench.book('k')
+        assert booking.headers[VERDICT] == 'may-have-run'
+        bench.guard.guarded.open_requests = 0
+
+    with_guard(work)
+
+
 def test_deep_calls_go_before_new_trees() -> None:
     """Guards against half-done call trees that are wasted."""
 
