--- /dev/null
+++ b/bergamotshunt/connections.py
@@ -0,0 +1,27 @@
+"""Connector of the HTTP client that never reuses an unclean connection."""
+
+from typing import Any
+
+from aiohttp import TCPConnector
+from aiohttp.client_reqrep import ConnectionKey
+from aiohttp.connector import Connection
+
+
+class CleanConnector(TCPConnector):
+    """Connector that closes an idle connection on which data arrived.
+
+    aiohttp would take such data for the answer to the next request.
+    """
+
+    async def _get(self, key: ConnectionKey, traces: Any) -> Connection | None:
+        connection = await super()._get(key, traces)
+        while connection is not None and is_unclean(connection):
+            connection.close()
+            connection = await super()._get(key, traces)
+        return connection
+
+
+def is_unclean(connection: Connection) -> bool:
+    """Tell whether data arrived that no request has asked for."""
+    protocol = connection.protocol
+    return protocol is not None and protocol.should_close
--- a/bergamotshunt/server_gate.py
+++ b/bergamotshunt/server_gate.py
@@ -14,7 +14,6 @@
 EVIDENCE_BY_REASON: Final = {
     'unreachable': Evidence.CONNECTION_REFUSED,
     'connection-lost': Evidence.CONNECTION_LOST,
-    'cut-short': Evidence.CONNECTION_LOST,
     'timeout': Evidence.TIMED_OUT,
     'server-refused': Evidence.ANSWERED,
 }
--- a/bergamotshunt/tests/test_guard.py
+++ b/bergamotshunt/tests/test_guard.py
@@ -185,6 +185,23 @@
     with_guard(work)
 
 
+def test_connection_of_a_foreign_answer_is_closed() -> None:
+    """Guards against a connection whose answers are one request behind."""
+
+    async def work(bench: GuardBench) -> None:
+        asking = asyncio.create_task(bench.ask())
+        exchange = await bench.backend.next()
+        await answer_foreign(exchange)
+        assert (await asking).status == 502
+        await exchange.closed.wait()
+        asking = asyncio.create_task(bench.ask())
+        await (await bench.backend.next()).send(b'')
+        assert (await asking).status == 200
+        assert bench.backend.connections == 2
+
+    with_guard(work)
+
+
 def test_data_on_an_idle_connection_is_no_answer() -> None:
     """Guards against a late second answer given to the next request."""
 
@@ -194,7 +211,7 @@
         await exchange.send(b'first')
         assert (await asking).body == b'first'
         await exchange.send(b'late answer')
-        idle = bench.guard.guarded.calls.server._session.connector
+        idle = bench.guard.guarded.calls.server._sender._session.connector
         while not any(
             protocol.should_close
             for protocols in idle._conns.values()  # type: ignore[union-attr]
--- a/bergamotshunt/transport.py
+++ b/bergamotshunt/transport.py
@@ -13,12 +13,12 @@
     ClientTimeout,
     ConnectionTimeoutError,
     DummyCookieJar,
-    TCPConnector,
 )
 from aiohttp.connector import Connection
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from bergamotshunt.connections import CleanConnector
 from bergamotshunt.decisions.deadlines import connect_timeout_ms
 from bergamotshunt.headers import CONTENT_LENGTH, HOP_BY_HOP, REQUEST_ID
 from bergamotshunt.verdicts import (
@@ -199,7 +199,7 @@
     def __init__(self, connections_per_server: int) -> None:
         """Create the session; a running event loop is needed."""
         self._session = ClientSession(
-            connector=TCPConnector(
+            connector=CleanConnector(
                 limit=0,
                 limit_per_host=connections_per_server,
                 keepalive_timeout=KEEP_ALIVE_S,
