Read long answers of the backend server piece by piece

Ruled out: bringing the generator back, which does not clean up when it was never started. Change: the guard reads chunk by chunk. Conclusion: long answers pass whole.

--- a/bergamotshunt/local_server.py
+++ b/bergamotshunt/local_server.py
@@ -76,9 +76,10 @@
             OSError, ClientError, TimeoutError: The body was cut short.
         """
         yield self.body
-        if not self.is_whole:
-            async for piece in self._exchange.iterate():
-                yield piece
+        if self.is_whole:
+            return
+        while piece := await self._exchange.read_some():
+            yield piece
 
     def close(self) -> None:
         """End the answer; a connection with unread data is closed."""
