Read the store's new reply to a commit in the claims

Cause: a commit is answered by StoreCommitted since it tells what is there when it loses, but the claims compared the reply with True. Each claim looked lost, was read again and, when shared, written up to the bound of tries. Ruled out: a truth value on StoreCommitted; a comparison with True would still fail without notice. Change: claiming.py reads "won"; the stores in the tests of bookings and seeds answer as the store task does. A new test counts the questions to the store. Conclusion: a claim costs one write again, and a test pins it.

--- a/bergamotshunt/claiming.py
+++ b/bergamotshunt/claiming.py
@@ -17,6 +17,7 @@
 
 from bergamotshunt.messages import (
     StoreCommit,
+    StoreCommitted,
     StoreEntry,
     StoreFailure,
     StoreGet,
@@ -186,11 +187,11 @@
         claim: Claim,
     ) -> Result[bool, StoreFailure]:
         put = StorePut(key, encode(claim), LEASE_TTL_S)
-        written: Result[bool, StoreFailure]
+        written: Result[StoreCommitted, StoreFailure]
         written = await self.ask(
             StoreCommit(((key, expected_revision),), (put,)),
         )
-        return written
+        return written.map(lambda committed: committed.won)
 
     def _use(self, key: str, claim: Claim) -> Ownership:
         self._cache(key, CachedClaim(claim))
--- a/bergamotshunt/tests/test_booking_machine.py
+++ b/bergamotshunt/tests/test_booking_machine.py
@@ -28,6 +28,7 @@
 )
 from bergamotshunt.messages import (
     StoreCommit,
+    StoreCommitted,
     StoreEntry,
     StoreFailure,
     StoreGet,
@@ -68,13 +69,15 @@
         for key, expected in question.expected:
             entry = self.by_key.get(key)
             if (entry.mod_revision if entry else 0) != expected:
-                return Success(False)
+                return Success(
+                    StoreCommitted(won=False, revision=self.revision)
+                )
         self.revision += 1
         for put in question.puts:
             self.by_key[put.key] = StoreEntry(
                 put.key, put.content, self.revision
             )
-        return Success(True)
+        return Success(StoreCommitted(won=True, revision=self.revision))
 
 
 class Daemon:
--- a/bergamotshunt/tests/test_bookings.py
+++ b/bergamotshunt/tests/test_bookings.py
@@ -36,6 +36,7 @@
     RebindBooking,
     ResolveBooking,
     StoreCommit,
+    StoreCommitted,
     StoreEntry,
     StoreFailure,
     StoreGet,
@@ -201,8 +202,10 @@
         self.revision = 0
         self.faults: list[str] = []
         self.late: list[StoreCommit] = []
+        self.questions = 0
 
     def answer(self, question: Any) -> Any:
+        self.questions += 1
         fault = self.faults.pop(0) if self.faults else ''
         if fault == 'down':
             return DOWN
@@ -221,12 +224,12 @@
         (key, expected) = question.expected[0]
         entry = self.by_key.get(key)
         if (entry.mod_revision if entry else 0) != expected:
-            return Success(False)
+            return Success(StoreCommitted(won=False, revision=self.revision))
         assert question.puts[0].lease_ttl_s == 25 * 3600
         self.revision += 1
         content = question.puts[0].content
         self.by_key[key] = StoreEntry(key, content, self.revision)
-        return Success(True)
+        return Success(StoreCommitted(won=True, revision=self.revision))
 
 
 @MemoryStore.handlers.on(StoreGet)
@@ -301,6 +304,16 @@
     with_fleet(work)
 
 
+def test_a_new_claim_costs_one_write() -> None:
+    """Guards against a reply of the store that is taken for a loss."""
+
+    async def work(fleet: Fleet) -> None:
+        assert await fleet.resolve(0, FIRST) == Success(FIRST)
+        assert fleet.store.questions == 1
+
+    with_fleet(work)
+
+
 def test_unshared_claim_can_be_rebound_by_its_only_user() -> None:
     """Guards against a lost booking when its owner just left."""
 
@@ -336,7 +349,8 @@
         refused = await fleet.rebind(0, FIRST, SECOND)
         assert verdict_of(refused) is Verdict.MAY_HAVE_RUN
         assert await fleet.resolve(0, THIRD) == Success(FIRST)
-        assert fleet.store.apply(fleet.store.late[0]) == Success(False)
+        late = fleet.store.apply(fleet.store.late[0])
+        assert not late.unwrap().won
         assert await fleet.resolve(1, THIRD) == Success(FIRST)
 
     with_fleet(work)
--- a/bergamotshunt/tests/test_seeds.py
+++ b/bergamotshunt/tests/test_seeds.py
@@ -20,6 +20,7 @@
     MembersChanged,
     SeedsLearned,
     StoreCommit,
+    StoreCommitted,
     StoreEntry,
     StoreFailure,
     StoreGet,
@@ -70,10 +71,10 @@
         ((key, revision),) = message.expected
         held = self.entries.get(key)
         if (held.mod_revision if held else 0) != revision:
-            return Success(False)
+            return Success(StoreCommitted(won=False, revision=revision))
         (put,) = message.puts
         self.entries[key] = StoreEntry(key, put.content, revision + 1)
-        return Success(True)
+        return Success(StoreCommitted(won=True, revision=revision + 1))
 
     def seeds(self) -> list[Seed]:
         return [
