Read long answers by the transport's read_some

Long answers were cut and mypy failed. Ruled out: keeping both methods in the transport. Change: ServerAnswer reads its pieces by read_some. Conclusion: long answers are passed on whole again.

--- a/bergamotshunt/local_server.py
+++ b/bergamotshunt/local_server.py
@@ -76,9 +76,10 @@
             OSError, ClientError, TimeoutError: The body was cut short.
         """
         yield self.body
-        if not self.is_whole:
-            async for piece in self._exchange.iterate():
-                yield piece
+        piece = b'' if self.is_whole else await self._exchange.read_some()
+        while piece:
+            yield piece
+            piece = await self._exchange.read_some()
 
     def close(self) -> None:
         """End the answer; a connection with unread data is closed."""
