--- a/bergamotshunt/local_server.py
+++ b/bergamotshunt/local_server.py
@@ -76,10 +76,10 @@
             OSError, ClientError, TimeoutError: The body was cut short.
         """
         yield self.body
-        if self.is_whole:
-            return
-        while piece := await self._exchange.read_some():
+        piece = b'' if self.is_whole else await self._exchange.read_some()
+        while piece:
             yield piece
+            piece = await self._exchange.read_some()
 
     def close(self) -> None:
         """End the answer; a connection with unread data is closed."""
