Test joining through the platform with the real store task

Cause: the seeds task was tested with a fake store only.

Change: two kernels without known peers meet through the seed list of the platform stand-in.

--- a/bergamotshunt/tests/test_seeds.py
+++ b/bergamotshunt/tests/test_seeds.py
@@ -6,6 +6,7 @@
 from msgspec.json import decode, encode
 from returns.result import Failure, Result, Success
 
+from bergamotshunt.daemon import create_kernel
 from bergamotshunt.decisions.seeding import (
     KEEPERS_PER_ZONE,
     MOST_SEEDS,
@@ -26,7 +27,13 @@
     StoreGet,
 )
 from bergamotshunt.plugins.seeds import SeedsTask
-from bergamotshunt.settings import DaemonSettings, Settings
+from bergamotshunt.settings import (
+    DaemonSettings,
+    PlatformSettings,
+    Settings,
+)
+from bergamotshunt.web import HttpServer
+from standins.platform import PlatformStandIn
 
 ZONES = ('zone-1', 'zone-2', 'zone-3')
 # The times of the product, 20 times shorter.
@@ -249,3 +256,32 @@
     run_start(platform, 30, down_first=False)
     print(f'reads {platform.reads}, writes {platform.writes}')
     assert platform.writes <= 20
+
+
+async def join_through_the_platform() -> None:
+    stand_in = PlatformStandIn()
+    platform = HttpServer(stand_in.app, '127.0.0.1', 0)
+    await platform.open()
+    url = f'http://127.0.0.1:{platform.port}'
+    kernels = []
+    heard: Mailbox = asyncio.Queue()
+    for number in (1, 2):
+        settings = Settings(
+            daemon=DaemonSettings(id=f'd{number}'),
+            platform=PlatformSettings((url,)),
+        )
+        kernel = create_kernel(settings, seed=number)
+        kernel.context.post.subscribe(MembersChanged, heard)
+        await kernel.start()
+        kernels.append(kernel)
+    async with asyncio.timeout(30):
+        while len((await heard.get()).message.members_by_id) < 2:
+            pass
+    for kernel in kernels:
+        await kernel.stop()
+    await platform.close()
+
+
+def test_daemons_without_known_peers_join_through_the_platform() -> None:
+    """Guards against seed lists that the real store task cannot handle."""
+    asyncio.run(join_through_the_platform())
