--- a/bergamotshunt/tests/test_targets_decisions.py
+++ b/bergamotshunt/tests/test_targets_decisions.py
@@ -203,7 +203,7 @@
     members += [member('dead', MemberStatus.DEAD)]
     foreign = [
         member(f'f{number}')._replace(availability_zone='other')
-        for number in range(30)
+        for number in range(300)
     ]
     chosen = choose_readers(members + foreign, 'r', 'z', 2)
     shuffled = Random(1).sample(members, len(members))
