Test commits whose single reads are stale

Cause: the state machine did not notice when the commit of a change compared the head only, because its reads rarely differ in age. Ruled out: more examples of the state machine; the sequence needs five steps in order, and a direct test shows it at once. Change: test_submitting.py runs the real submitter on the data of the platform stand-in; the first read of the targets, or of the submission, is stale.

--- /dev/null
+++ b/bergamotshunt/tests/test_submitting.py
@@ -0,0 +1,69 @@
+"""Submitter on data of which single reads are stale."""
+
+from asyncio import run
+from random import Random
+from typing import Any, cast
+
+from returns.result import Result, Success
+
+from bergamotshunt.kernel import Post
+from bergamotshunt.messages import StoreCommit, StoreGet, SubmitChange
+from bergamotshunt.store_codec import StoreCodec
+from bergamotshunt.submitting import Submitter
+from bergamotshunt.targets import Change, ServiceTargets, Target
+from bergamotshunt.targets_messages import SubmitFailure, SubmitFailureKind
+from standins.platform_data import KeyValueData
+
+CODEC = StoreCodec('p/')
+
+
+class StalePost:
+    """Answers for the store task; the first read of some keys is stale."""
+
+    def __init__(self) -> None:
+        self.data = KeyValueData()
+        self.old_data = self.data.copy()
+        self.stale_once: set[str] = set()
+
+    async def ask(self, message: Any) -> Any:
+        if isinstance(message, StoreCommit):
+            answer = self.data.run(CODEC.encode_commit(message, {}))
+            return Success(CODEC.decode_committed(answer))
+        assert isinstance(message, StoreGet)
+        kinds = {kind for kind in self.stale_once if kind in message.key}
+        self.stale_once -= kinds
+        data = self.old_data if kinds else self.data
+        answer = data.read(CODEC.encode_get(message))
+        return Success(CODEC.decode_entries(answer))
+
+
+def submit(
+    post: StalePost, submission_id: str, revision: int, removes: bool = False
+) -> Result[Change, SubmitFailure]:
+    submitter = Submitter(cast(Post, post), 100, Random(1))
+    target = Target(submission_id)
+    after = None if removes else ServiceTargets('catalog', (target,))
+    message = SubmitChange('catalog', after, revision, 'ana', '', submission_id)
+    return run(submitter.submit(message))
+
+
+def test_a_stale_read_of_the_targets_overwrites_nothing() -> None:
+    """Guards against a commit that compares the head only."""
+    post = StalePost()
+    assert submit(post, 's1', 0).unwrap().revision == 1
+    post.old_data = post.data.copy()
+    assert submit(post, 's2', 1).unwrap().revision == 2
+    post.stale_once = {'targets/services/'}
+    failure = submit(post, 's3', 1).failure()
+    assert failure.kind is SubmitFailureKind.CONFLICT
+    assert failure.winner is not None
+    assert failure.winner.submission_id == 's2'
+
+
+def test_a_stale_read_of_the_submission_applies_nothing_twice() -> None:
+    """Guards against a repeat after the service was removed meanwhile."""
+    post = StalePost()
+    first = submit(post, 's1', 0)
+    assert submit(post, 's2', 1, removes=True).unwrap().revision == 2
+    post.stale_once = {'submissions/'}
+    assert submit(post, 's1', 0) == first
