Test that a key to be claimed goes through a callers port

Cause: with that check removed from the client, its test still passed, because the direct way was closed in it and both refusals had one reason. Change: the test keeps the direct way open, and the client names its own refusal not-a-ticket. Ruled out: claims made by the client, which has no platform connection. The whole of make unit was not run again after this change. Conclusion: a booking with a UUIDv7 is held to the daemon's claims task.

--- a/bergamotshunt/client.py
+++ b/bergamotshunt/client.py
@@ -95,7 +95,7 @@
         return self._refuse('a ticket cannot be moved to another owner')
 
     def _refuse(self, detail: str) -> Ownership:
-        return Failure(create_refusal('bookings-unavailable', detail))
+        return Failure(create_refusal('not-a-ticket', detail))
 
 
 class Client:
--- a/bergamotshunt/tests/test_client.py
+++ b/bergamotshunt/tests/test_client.py
@@ -132,8 +132,10 @@
             async with nowhere as client:
                 call = BALANCE._replace(deadline_ms=1000)
                 assert isinstance(await client.call(call), Success)
-                # Keys that are no tickets are claimed by a daemon; this
-                # one has no claims task.
+            # Keys that are no tickets are claimed by a daemon, although
+            # the direct way is open; this daemon has no claims task.
+            async with bench.client(callers=(bench.callers,)) as client:
+                assert isinstance(await client.call(BALANCE), Success)
                 claimed = REFUND._replace(booking_key=str(uuid7()))
                 outcome = await client.call(claimed)
                 assert isinstance(outcome, Failure)
