Keep a replaced process from serving when its targets are confirmed

Cause: a process that learned that it was replaced withdrew the confirmation once, and the keeper's next confirmation let it serve again.

Change: gossip withdraws each confirmation while the process is replaced and passes on the last one when it holds its daemon id again.

Ruled out: a handler for DaemonReplaced in entry and guard, which others own; they may still add it, as there is a moment between the two messages.

Conclusion: a frozen process that wakes beside its successor refuses new work until the successor is gone.

--- a/bergamotshunt/plugins/gossip.py
+++ b/bergamotshunt/plugins/gossip.py
@@ -1,11 +1,11 @@
 """Gossip: the members of the fleet, by SWIM over UDP and HTTP exchanges."""
 
 from asyncio import Event, sleep, wait_for
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
-from typing import Final
+from typing import Any, Final
 
-from bergamotshunt.datagrams import Datagram, Endpoint, Kind, Packet
+from bergamotshunt.datagrams import Datagram, Endpoint, Packet
 from bergamotshunt.decisions.answering import receive
 from bergamotshunt.decisions.load_queries import LoadQueries
 from bergamotshunt.decisions.membership import Membership, MembershipRules
@@ -20,7 +20,6 @@
     PLUGINS,
     Context,
     HandlerTable,
-    NoHandlerError,
     Task,
 )
 from bergamotshunt.log import log_error, log_event
@@ -29,13 +28,12 @@
 from bergamotshunt.messages import (
     ConfirmationChanged,
     DaemonReplaced,
-    DescribeLoad,
-    LoadHeard,
     MembersChanged,
     PeerReached,
     PortBound,
     RevisionHeard,
 )
+from bergamotshunt.registries import Registry
 from bergamotshunt.udp import UdpPort
 
 HANDLERS: Final = HandlerTable()
@@ -45,7 +43,10 @@
 PUBLISH_INTERVAL_MS: Final = 50
 # Eras are accepted for an hour, so news of them can wait for a batch.
 ERA_PUBLISH_INTERVAL_MS: Final = 5000
-MOST_LOAD_ANSWERS: Final = 64
+# What the task does with a kind of datagram beyond the protocol itself.
+READERS: Final[Registry[Callable[[Any, Datagram, Endpoint], None]]] = Registry(
+    'datagram reader',
+)
 
 
 class GossipTask(Task):
@@ -84,6 +85,8 @@
         self.load_answers = 0
         self.published_ms = -float(ERA_PUBLISH_INTERVAL_MS)
         self.replaced = False
+        self.refusal: ConfirmationChanged | None = None
+        self.confirmation: ConfirmationChanged | None = None
         self.reported_namesakes: set[str] = set()
         self.seeds: tuple[str, ...] = ()
         self.woken = Event()
@@ -204,10 +207,9 @@
         if received.awake and self.sync.may_meet(now_ms):
             peer = self.sync.address_of(received.awake)
             self.spawn(self.synchronize_with(peer))
-        if datagram.kind is Kind.LOAD_QUERY:
-            self.answer_query(datagram, source)
-        elif datagram.kind is Kind.LOAD_ANSWER:
-            self.take_load(datagram, now_ms)
+        reader = READERS.by_name.get(datagram.kind.name)
+        if reader is not None:
+            reader(self, datagram, source)
         self.tell_changes()
 
     def send_packets(self, packets: Iterable[Packet]) -> None:
@@ -224,42 +226,6 @@
             content = encode_datagram(datagram._replace(events=(), eras=()))
         self.udp.send(content, endpoint)
 
-    # Load.
-
-    def answer_query(self, query: Datagram, source: Endpoint) -> None:
-        """Answer a load query, unless too many are being answered."""
-        own_id = self.members.own.daemon_id
-        if query.target != own_id or self.load_answers >= MOST_LOAD_ANSWERS:
-            return
-        self.load_answers += 1
-        self.spawn(self.send_load(query.sequence, source))
-
-    async def send_load(self, sequence: int, source: Endpoint) -> None:
-        """Ask the guard for its load and send it."""
-        try:
-            report = await self.post.ask(DescribeLoad())
-        except (NoHandlerError, TimeoutError):
-            return
-        finally:
-            self.load_answers -= 1
-        answer = self.swim.composer.compose_plain(
-            Kind.LOAD_ANSWER,
-            self.now_ms(),
-            sequence,
-        )
-        self.send_datagram(source, answer._replace(load=report))
-
-    def take_load(self, answer: Datagram, now_ms: float) -> None:
-        """Publish the answer to a load query."""
-        age_ms = self.queries.take_answer(
-            answer.sequence,
-            answer.sender,
-            now_ms,
-        )
-        if age_ms is not None and answer.load is not None:
-            self.post.publish(LoadHeard(answer.sender, answer.load, age_ms))
-            self.post.publish(PeerReached(answer.sender))
-
     # Other tasks.
 
     def change_own(self, **fields: object) -> None:
@@ -308,11 +274,24 @@
                 f'{holder.peers_port} took over the daemon id '
                 f'{holder.daemon_id}; stop this process or change its id'
             )
-            self.post.publish(ConfirmationChanged(False, detail))
+            self.refusal = ConfirmationChanged(False, detail)
+            self.post.publish(self.refusal)
+        elif self.confirmation is not None:
+            self.post.publish(self.confirmation)
         self.post.publish(DaemonReplaced(holder is not None, detail))
         log_event('gossip:replaced', level='error', detail=detail)
 
 
+@HANDLERS.on(ConfirmationChanged)
+def note_confirmation(task: GossipTask, message: ConfirmationChanged) -> None:
+    """Keep a replaced process from serving when its targets are confirmed."""
+    if message == task.refusal:
+        return
+    task.confirmation = message
+    if task.replaced and task.refusal is not None and message.confirmed:
+        task.post.publish(task.refusal)
+
+
 @PLUGINS.register('gossip')
 def create_gossip(context: Context) -> GossipTask:
     """Create the gossip task."""
--- a/bergamotshunt/plugins/gossip_handlers.py
+++ b/bergamotshunt/plugins/gossip_handlers.py
@@ -5,7 +5,6 @@
 
 from msgspec.json import Decoder, encode
 
-from bergamotshunt.datagrams import Kind, endpoint_of
 from bergamotshunt.decisions.exchange import answer_request
 from bergamotshunt.decisions.membership import era_stride
 from bergamotshunt.kernel import Post
@@ -15,7 +14,6 @@
     DescribeTask,
     EraChanged,
     PortBound,
-    QueryLoad,
     RevisionInForce,
     SeedsLearned,
     ServerStateChanged,
@@ -91,24 +89,6 @@
     task.swim.composer.confirmed_ms = task.now_ms() - message.age_ms
 
 
-@HANDLERS.on(QueryLoad)
-def query_load(task: GossipTask, message: QueryLoad) -> None:
-    """Ask daemons for their load, within the rate of the settings."""
-    now_ms = task.now_ms()
-    peers = filter(task.swim.composer.is_peer, message.daemon_ids)
-    for daemon_id in task.queries.admit(peers, now_ms):
-        sequence = task.swim.composer.next_sequence()
-        task.queries.note_sent(sequence, daemon_id, now_ms)
-        query = task.swim.composer.compose_plain(
-            Kind.LOAD_QUERY,
-            now_ms,
-            sequence,
-            daemon_id,
-        )
-        member = task.members.table.by_id[daemon_id]
-        task.send_datagram(endpoint_of(member), query)
-
-
 @HANDLERS.on(DescribeTask)
 def describe(task: GossipTask, _message: DescribeTask) -> dict[str, Any]:
     """Describe the members for the daemon's status."""
--- a/bergamotshunt/tests/test_gossip.py
+++ b/bergamotshunt/tests/test_gossip.py
@@ -177,6 +177,10 @@
             holder = status['membership']['replaced_by']
             assert holder['process_id'] == 1_800_000_000_000
             assert later.gossip.members.replaced_by is None
+            confirmed = ConfirmationChanged(True, 'targets are confirmed')
+            first.context.post.publish(confirmed)
+            assert await wait_until(told, bool) == confirmed
+            assert await wait_until(told, bool, 5) == refused
 
     drive(scenario)
 
