--- a/bench/cells.py
+++ b/bench/cells.py
@@ -133,6 +133,8 @@
         for percentile in PERCENTILES
     )
     found = find_faults(outcomes, judgements)
+    if found and names[2] != BOUND:
+        print(f'violations in {names}: {found}', flush=True)
     ids = {outcome.call.request_id for outcome in outcomes}
     ids.update(outcome.call.booking for outcome in outcomes)
     return Cell(
--- a/bench/fault_report.py
+++ b/bench/fault_report.py
@@ -6,8 +6,8 @@
 from bench.fault_judge import PROPERTIES
 
 NOT_PROVED: Final = (
-    'Cells run one after the other on three hosts; faults that need more '
-    'daemons, regions or availability zones are not covered.',
+    'Each cell runs on three hosts; faults that need more daemons, regions '
+    'or availability zones are not covered.',
     'Gossip datagrams between daemons are not cut, delayed or duplicated: a '
     'daemon announces its own gossip port, so that no link can stand in '
     'between.',
--- a/bench/operators.py
+++ b/bench/operators.py
@@ -8,8 +8,11 @@
 
 from bench.fleet import OPERATORS, Fleet
 from bench.hosts import Host
+from bergamotshunt.headers import VERDICT
 
 ANSWER_LIMIT_S: Final = 4
+# Lost races and changes that are not allowed.
+REFUSALS: Final = (409, 412, 428)
 
 
 class Submission(NamedTuple):
@@ -19,13 +22,13 @@
         status: HTTP status; 0 when there was no answer.
         share: The measuring share that was asked for; unique, so that it
             identifies the change.
-        etag: Revision told in the answer.
+        verdict: Verdict told in the answer, or empty.
         host: Daemon it was submitted to.
     """
 
     status: int
     share: float
-    etag: str
+    verdict: str
     host: str
 
     @property
@@ -33,6 +36,16 @@
         """Tell whether the change was accepted."""
         return 200 <= self.status < 300
 
+    @property
+    def refused(self) -> bool:
+        """Tell whether the operator heard that it is not in force."""
+        return self.verdict == 'not-run' or self.status in REFUSALS
+
+    @property
+    def unknown(self) -> bool:
+        """Tell whether the operator cannot know."""
+        return not self.accepted and not self.refused
+
 
 def authorize(operator: str) -> dict[str, str]:
     """Return the headers that identify an operator."""
@@ -48,7 +61,9 @@
         async with fleet.session.get(url, headers=authorize('ana')) as response:
             if response.status != 200:
                 return None
-            return response.headers.get('ETag', ''), await response.json()
+            document = await response.json()
+            document.pop('revision', None)
+            return response.headers.get('ETag', ''), document
     except (ClientError, TimeoutError, OSError):
         return None
 
@@ -77,7 +92,7 @@
             timeout=ClientTimeout(total=ANSWER_LIMIT_S),
         ) as response:
             await response.read()
-            told = response.headers.get('ETag', '')
+            told = response.headers.get(VERDICT, '')
             return Submission(response.status, share, told, host.name)
     except (ClientError, TimeoutError, OSError):
         return Submission(0, share, '', host.name)
