Keep claims without a lease, notice a draining server, end questions cleanly

Beside that, wait_for of Python 3.11 can swallow a cancellation.

Ruled out: sparing long leases in the fault; whether a lease lapses is the platform's affair, and at most once must not depend on it.

Change: claims have no lease; their keys start with the UUIDv7 and sort by time, and the readers remove those older than 36 h as one range about every hour. Refusals of the server are evidence of their own: together with a failed probe they end its service. A stopped task ends open questions with TaskStoppedError; a submission is then told as unknown, and a drain waits for submissions.

With the old reading of refusals the new test of health fails, as the state stays SERVING.

Conclusion: no promise of the product depends on a lease any more.

--- a/bergamotshunt/claiming.py
+++ b/bergamotshunt/claiming.py
@@ -30,7 +30,6 @@
     create_unknown_outcome,
 )
 
-LEASE_TTL_S: Final = 25 * 3600
 MAX_CACHED: Final = 20_000
 # A claim can change under a reader when its creator rebinds it or another
 # daemon shares it; more tries only help against lost answers.
@@ -186,7 +185,7 @@
         expected_revision: int,
         claim: Claim,
     ) -> Result[bool, StoreFailure]:
-        put = StorePut(key, encode(claim), LEASE_TTL_S)
+        put = StorePut(key, encode(claim))
         written: Result[StoreCommitted, StoreFailure]
         written = await self.ask(
             StoreCommit(((key, expected_revision),), (put,)),
--- a/bergamotshunt/decisions/booking_keys.py
+++ b/bergamotshunt/decisions/booking_keys.py
@@ -14,16 +14,42 @@
 
 UUID_VERSION: Final = 7
 TIMESTAMP_SHIFT: Final = 80
-# A claim is kept for 25 h, so a key that is accepted for 24 h, from a
-# clock that is 5 min ahead at most, never outlives its claim.
-MAX_AGE_MS: Final = 24 * 3_600_000
+HOUR_MS: Final = 3_600_000
+MAX_AGE_MS: Final = 24 * HOUR_MS
 MAX_AHEAD_MS: Final = 5 * 60_000
+# A key that is accepted must not outlive its claim: the clock of the daemon
+# that removes old claims may be 12 h ahead of that of another daemon.
+CLAIM_KEPT_MS: Final = 36 * HOUR_MS
+CLAIMS_PREFIX: Final = 'claims/'
 ALLOWED: Final = (
     'Idempotency-Key must be a ticket (bk1.<daemon id>.<process id>.<era>.'
     '<random>) or a UUIDv7 in lower case with hyphens'
 )
 
 
+def claim_key(service: str, key: str) -> str:
+    """Return the key of a claim in the platform.
+
+    The booking key goes first: UUIDv7 sort by time, so that all claims
+    before a time are one range.
+    """
+    return f'{CLAIMS_PREFIX}{key}/{service}'
+
+
+def expired_claims(now_ms: float) -> tuple[str, str]:
+    """Return the range of claims that are not needed any more.
+
+    Args:
+        now_ms: Wall clock, ms since the epoch.
+
+    Returns:
+        First key and end (exclusive).
+    """
+    oldest_ms = int(now_ms - CLAIM_KEPT_MS)
+    oldest = UUID(int=oldest_ms << TIMESTAMP_SHIFT)
+    return CLAIMS_PREFIX, f'{CLAIMS_PREFIX}{oldest}'
+
+
 def parse_uuid7_ms(key: str) -> int | None:
     """Return the timestamp (ms since the epoch) of a UUIDv7.
 
--- a/bergamotshunt/decisions/health.py
+++ b/bergamotshunt/decisions/health.py
@@ -9,6 +9,9 @@
 FAILED_PROBES_TO_DOWN: Final = 3
 HEALTHY_PROBES_TO_SERVE: Final = 2
 FAILURE_SCORE_TO_DOWN: Final = 12
+# A server that drains refuses all work and says that it is unhealthy. Both
+# together need no further proof; a server that only sheds stays healthy.
+REFUSALS_TO_DRAIN: Final = 2
 # A server that says it is healthy and fails again soon stays down longer
 # each time.
 FIRST_PAUSE_MS: Final = 1000.0
@@ -22,6 +25,7 @@
     PROBE_HEALTHY = 'probe-healthy'
     PROBE_FAILED = 'probe-failed'
     ANSWERED = 'answered'
+    REFUSED = 'refused'
     TIMED_OUT = 'timed-out'
     CONNECTION_LOST = 'connection-lost'
     CONNECTION_REFUSED = 'connection-refused'
@@ -42,6 +46,7 @@
         failed_probes: Failed probes in a row.
         healthy_probes: Healthy probes in a row.
         failure_score: Sum over failed requests in a row.
+        refusals: Requests in a row that the server itself refused.
         down_until_ms: No return before this monotonic time.
         pause_ms: Length of the last pause.
     """
@@ -50,6 +55,7 @@
     failed_probes: int = 0
     healthy_probes: int = 0
     failure_score: int = 0
+    refusals: int = 0
     down_until_ms: float = 0
     pause_ms: float = 0
 
@@ -65,10 +71,16 @@
     outweigh healthy probes: probes can be stale or misleading.
     """
     if evidence is Evidence.ANSWERED:
-        return health._replace(failed_probes=0, failure_score=0)
+        return health._replace(failed_probes=0, failure_score=0, refusals=0)
     if evidence is Evidence.PROBE_HEALTHY:
         return note_healthy_probe(health, now_ms)
-    if evidence is Evidence.PROBE_FAILED:
+    if evidence is Evidence.REFUSED:
+        # The server is alive, but that says nothing against failed probes.
+        failing = health._replace(
+            failure_score=0,
+            refusals=health.refusals + 1,
+        )
+    elif evidence is Evidence.PROBE_FAILED:
         failing = health._replace(
             failed_probes=health.failed_probes + 1,
             healthy_probes=0,
@@ -95,6 +107,7 @@
     return healthy._replace(
         server_state=ServerState.SERVING,
         failure_score=0,
+        refusals=0,
     )
 
 
@@ -103,6 +116,7 @@
     is_failing = (
         health.failed_probes >= FAILED_PROBES_TO_DOWN
         or health.failure_score >= FAILURE_SCORE_TO_DOWN
+        or (health.failed_probes and health.refusals >= REFUSALS_TO_DRAIN)
     )
     if not is_failing or health.server_state is not ServerState.SERVING:
         return health
--- a/bergamotshunt/kernel.py
+++ b/bergamotshunt/kernel.py
@@ -1,6 +1,7 @@
 """Kernel: loads plug-ins, runs their tasks and carries their messages."""
 
-from asyncio import (
+# The kernel is built from the parts of asyncio.
+from asyncio import (  # noqa: WPS235
     CancelledError,
     Event,
     Future,
@@ -8,6 +9,7 @@
     create_task,
     gather,
     get_running_loop,
+    timeout,
     wait_for,
 )
 from asyncio import Task as AsyncioTask
@@ -47,6 +49,10 @@
     """No running task handles this type of question."""
 
 
+class TaskStoppedError(NoHandlerError):
+    """The task stopped before it replied; what it did is not known."""
+
+
 class Post:
     """Carries messages to the mailboxes of the tasks that handle them."""
 
@@ -78,7 +84,7 @@
             The reply of that task.
 
         Raises:
-            NoHandlerError: No task handles this type.
+            NoHandlerError: No task handles this type, or it stopped.
             TimeoutError: No reply in time.
         """
         replies = await self.ask_all(message, timeout_s)
@@ -102,7 +108,10 @@
             reply: Future[Any] = loop.create_future()
             mailbox.put_nowait(Envelope(message, reply))
             futures.append(reply)
-        return await wait_for(gather(*futures), timeout_s)
+        # wait_for of Python 3.11 can swallow a cancellation that arrives
+        # together with the reply, which leaves a stopped task running.
+        async with timeout(timeout_s):
+            return await gather(*futures)
 
 
 class HandlerTable:
@@ -213,8 +222,8 @@
         try:
             outcome = await pending
         except CancelledError:
-            if envelope.reply is not None:
-                envelope.reply.cancel()
+            if envelope.reply is not None and not envelope.reply.done():
+                envelope.reply.set_exception(TaskStoppedError(self.name))
             raise
         except Exception as error:
             self._fail(envelope, error)
--- a/bergamotshunt/messages.py
+++ b/bergamotshunt/messages.py
@@ -154,11 +154,10 @@
 
 
 class StorePut(NamedTuple):
-    """One write of a commit; ``lease_ttl_s`` 0 keeps the key for good."""
+    """One write of a commit."""
 
     key: str
     content: bytes
-    lease_ttl_s: int = 0
 
 
 class StoreCommit(NamedTuple):
@@ -170,11 +169,13 @@
         expected: Pairs of key and mod_revision; 0 means absent.
         puts: Keys to write.
         deletes: Keys to remove.
+        delete_ranges: Pairs of first key and end (exclusive) to remove.
     """
 
     expected: tuple[tuple[str, int], ...]
     puts: tuple[StorePut, ...]
     deletes: tuple[str, ...] = ()
+    delete_ranges: tuple[tuple[str, str], ...] = ()
 
 
 class StoreCommitted(NamedTuple):
--- a/bergamotshunt/plugins/admin.py
+++ b/bergamotshunt/plugins/admin.py
@@ -1,5 +1,6 @@
 """Admin: the administration API and the metrics."""
 
+from asyncio import Event
 from http import HTTPStatus
 from typing import Any, Final
 from uuid import uuid4
@@ -24,7 +25,13 @@
 from bergamotshunt.admin_guard import MAX_BODY_BYTES, OPERATOR, AdminGuard
 from bergamotshunt.decisions.validation import check_service
 from bergamotshunt.headers import BOOKING_KEY
-from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
+from bergamotshunt.kernel import (
+    PLUGINS,
+    Context,
+    HandlerTable,
+    NoHandlerError,
+    Task,
+)
 from bergamotshunt.messages import (
     DescribeTask,
     DrainRequested,
@@ -38,6 +45,7 @@
     ChangeList,
     ListChanges,
     SubmitFailure,
+    SubmitFailureKind,
 )
 from bergamotshunt.verdicts import create_refusal
 from bergamotshunt.web import (
@@ -60,6 +68,13 @@
 SUBMIT_TIMEOUT_S: Final = 30
 
 
+OUTCOME_UNKNOWN: Final = SubmitFailure(
+    SubmitFailureKind.UNKNOWN,
+    'this daemon stopped or did not get an answer in time; submit the '
+    'change again with the same id at any daemon to find out',
+)
+
+
 class AdminTask(Task):
     """Owns the admin port."""
 
@@ -70,6 +85,8 @@
         """Create the task; ``open`` binds the port."""
         super().__init__(context)
         self.target_set: TargetSet | None = None
+        self.submissions = 0
+        self.idle = Event()
         app = Starlette(
             routes=[
                 Route('/v1/status', self.show_status),
@@ -98,6 +115,12 @@
         await self.http.open()
         self.post.publish(PortBound('admin', self.http.port))
 
+    async def drain(self) -> None:
+        """Wait for the submissions in progress."""
+        while self.submissions:
+            self.idle.clear()
+            await self.idle.wait()
+
     async def close(self) -> None:
         """Close the port."""
         await self.http.close()
@@ -175,7 +198,7 @@
             revision = 0 if match_text is None else parse_tag(match_text)
         except MalformedTagError:
             return answer_bad_request('If-Match must be a tag such as "12"')
-        outcome: Result[Change, SubmitFailure] = await self.post.ask(
+        outcome = await self.ask_to_submit(
             SubmitChange(
                 service=request.path_params[SERVICE],
                 after=after,
@@ -184,7 +207,6 @@
                 reason=reason,
                 submission_id=submission_id,
             ),
-            SUBMIT_TIMEOUT_S,
         )
         match outcome:
             case Failure(failure):
@@ -198,6 +220,25 @@
             change.revision,
         )
 
+    async def ask_to_submit(
+        self,
+        message: SubmitChange,
+    ) -> Result[Change, SubmitFailure]:
+        """Submit a change; without a reply its outcome is unknown."""
+        self.submissions += 1
+        try:
+            outcome: Result[Change, SubmitFailure] = await self.post.ask(
+                message,
+                SUBMIT_TIMEOUT_S,
+            )
+        except (TimeoutError, NoHandlerError):
+            return Failure(OUTCOME_UNKNOWN)
+        finally:
+            self.submissions -= 1
+            if not self.submissions:
+                self.idle.set()
+        return outcome
+
     async def list_changes(self, request: Request) -> Response:
         """Answer with a part of the audit trail."""
         known = {'after': -1, 'limit': DEFAULT_CHANGES}
--- /dev/null
+++ b/bergamotshunt/plugins/claim_cleanup.py
@@ -0,0 +1,80 @@
+"""Claim clean-up: removes claims that no accepted booking key needs.
+
+Claims are not kept under a lease: a lease that lapses early would remove
+claims whose keys are still accepted, and a repeat would run again.
+"""
+
+from asyncio import Event, sleep
+from time import time
+from typing import Final
+
+from returns.result import Failure, Result
+
+from bergamotshunt.decisions.booking_keys import expired_claims
+from bergamotshunt.kernel import (
+    PLUGINS,
+    Context,
+    HandlerTable,
+    NoHandlerError,
+    Task,
+)
+from bergamotshunt.log import log_event
+from bergamotshunt.messages import StoreCommit, StoreCommitted, StoreFailure
+from bergamotshunt.targets_messages import ReaderElected
+
+HANDLERS: Final = HandlerTable()
+PERIOD_S: Final = 3600
+MS_PER_S: Final = 1000
+
+
+class ClaimCleanupTask(Task):
+    """Removes old claims while this daemon reads the platform."""
+
+    name = 'claim-cleanup'
+    handlers = HANDLERS
+
+    def __init__(self, context: Context) -> None:
+        """Create the task; it waits until this daemon is a reader."""
+        super().__init__(context)
+        self.elected = Event()
+
+    async def start(self) -> None:
+        """Start to remove old claims."""
+        self.spawn(self.remove_forever())
+
+    async def remove_forever(self) -> None:
+        """Remove old claims about every hour."""
+        while True:
+            await self.elected.wait()
+            # The readers of all zones do the same at different times.
+            await sleep(PERIOD_S * self.context.rng.uniform(0.5, 1.5))
+            if self.elected.is_set():
+                await self.remove_expired(time() * MS_PER_S)
+
+    async def remove_expired(self, now_ms: float) -> None:
+        """Remove the claims that are too old; the next hour tries again."""
+        commit = StoreCommit((), (), delete_ranges=(expired_claims(now_ms),))
+        outcome: Result[StoreCommitted, StoreFailure]
+        try:
+            outcome = await self.post.ask(commit)
+        except (TimeoutError, NoHandlerError) as error:
+            log_event('claims:cleanup-failed', detail=str(error))
+            return
+        match outcome:
+            case Failure(failure):
+                log_event('claims:cleanup-failed', detail=failure.detail)
+
+
+@HANDLERS.on(ReaderElected)
+def note_reader(task: ClaimCleanupTask, message: ReaderElected) -> None:
+    """Remove old claims only while this daemon is a reader."""
+    if message.is_reader:
+        task.elected.set()
+    else:
+        task.elected.clear()
+
+
+@PLUGINS.register('claim-cleanup')
+def create_claim_cleanup(context: Context) -> ClaimCleanupTask:
+    """Create the clean-up task."""
+    return ClaimCleanupTask(context)
--- a/bergamotshunt/plugins/claims.py
+++ b/bergamotshunt/plugins/claims.py
@@ -10,7 +10,11 @@
 from returns.result import Failure, Result, Success
 
 from bergamotshunt.claiming import ClaimBook, Ownership, refuse_rebind
-from bergamotshunt.decisions.booking_keys import ALLOWED, check_uuid7
+from bergamotshunt.decisions.booking_keys import (
+    ALLOWED,
+    check_uuid7,
+    claim_key,
+)
 from bergamotshunt.decisions.tickets import is_ticket_form, parse_ticket
 from bergamotshunt.kernel import (
     PLUGINS,
@@ -75,11 +79,6 @@
     return token_hex(NONCE_BYTES)
 
 
-def claim_key(service: str, key: str) -> str:
-    """Return the key of a claim in the platform."""
-    return f'claims/{service}/{key}'
-
-
 def read_ticket(key: str) -> Result[Ticket, CallFailure]:
     """Parse a booking key that is a ticket."""
     ticket = parse_ticket(key)
--- a/bergamotshunt/plugins/store.py
+++ b/bergamotshunt/plugins/store.py
@@ -34,10 +34,7 @@
     PlatformError,
     lose,
 )
-from bergamotshunt.shared_leases import SharedLeases
 from bergamotshunt.store_codec import (
-    GRANT_PATH,
-    NOT_FOUND_CODE,
     RANGE_PATH,
     TXN_PATH,
     WATCH_PATH,
@@ -65,7 +62,6 @@
         self.rate = CallRate(self.platform.calls_per_s, self.now_ms())
         self.circuit = Circuit()
         self.last_failure = ''
-        self.leases = SharedLeases(self.grant_lease, self.spawn, context.clock)
 
     async def open(self) -> None:
         """Create the session."""
@@ -136,11 +132,6 @@
         PLATFORM_CALLS.labels(kind, 'ok').inc()
         self.circuit = Circuit()
 
-    async def grant_lease(self, ttl_s: int) -> Answered:
-        """Ask the platform for a lease."""
-        body = {'TTL': str(ttl_s)}
-        return await self.call('lease-grant', GRANT_PATH, body, writes=True)
-
     async def watch_from(
         self,
         message: StoreWatch,
@@ -190,25 +181,11 @@
     message: StoreCommit,
 ) -> Result[StoreCommitted, StoreFailure]:
     """Write all puts if all expected revisions hold."""
-    answered = await commit_once(task, message)
-    match answered:
-        case Failure(error) if error.code == NOT_FOUND_CODE:
-            # The lease expired before its time, for example in a pause.
-            task.leases.forget()
-            answered = await commit_once(task, message)
+    body = task.codec.encode_commit(message)
+    answered = await task.call('txn', TXN_PATH, body, writes=True)
     return answered.map(task.codec.decode_committed).alt(take_failure)
 
 
-async def commit_once(task: StoreTask, message: StoreCommit) -> Answered:
-    """Send the transaction with the leases that its puts need."""
-    ttls_s = {put.lease_ttl_s for put in message.puts} - {0}
-    leases = await task.leases.obtain_all(ttls_s)
-    if not isinstance(leases, Success):
-        return Failure(leases.failure())
-    body = task.codec.encode_commit(message, leases.unwrap())
-    return await task.call('txn', TXN_PATH, body, writes=True)
-
-
 @HANDLERS.on(StoreWatch)
 async def watch(task: StoreTask, message: StoreWatch) -> Watched:
     """Wait until a key is written after a revision."""
--- a/bergamotshunt/server_gate.py
+++ b/bergamotshunt/server_gate.py
@@ -15,7 +15,7 @@
     'unreachable': Evidence.CONNECTION_REFUSED,
     'connection-lost': Evidence.CONNECTION_LOST,
     'timeout': Evidence.TIMED_OUT,
-    'server-refused': Evidence.ANSWERED,
+    'server-refused': Evidence.REFUSED,
 }
 
 
--- a/bergamotshunt/store_codec.py
+++ b/bergamotshunt/store_codec.py
@@ -13,10 +13,7 @@
 
 RANGE_PATH: Final = '/v3/kv/range'
 TXN_PATH: Final = '/v3/kv/txn'
-GRANT_PATH: Final = '/v3/lease/grant'
 WATCH_PATH: Final = '/v3/watch'
-# gRPC code of an unknown lease.
-NOT_FOUND_CODE: Final = 5
 
 
 class EntryDocument(TypedDict, total=False):
@@ -65,11 +62,7 @@
             body['limit'] = str(message.limit)
         return body
 
-    def encode_commit(
-        self,
-        message: StoreCommit,
-        leases_by_ttl_s: dict[int, str],
-    ) -> dict[str, Any]:
+    def encode_commit(self, message: StoreCommit) -> dict[str, Any]:
         """Build a transaction that reads the expected keys if it loses."""
         compare = [
             {
@@ -80,14 +73,12 @@
             }
             for key, revision in message.expected
         ]
-        puts = [
-            self.encode_put(put, leases_by_ttl_s.get(put.lease_ttl_s, ''))
-            for put in message.puts
-        ]
-        deletions = [
+        puts = [self.encode_put(put) for put in message.puts]
+        deletions: list[dict[str, Any]] = [
             {'request_delete_range': {'key': self.encode_key(key)}}
             for key in message.deletes
         ]
+        deletions.extend(map(self.encode_delete, message.delete_ranges))
         reads = [
             {'request_range': {'key': self.encode_key(key)}}
             for key, _ in message.expected
@@ -98,15 +89,24 @@
             'failure': reads,
         }
 
-    def encode_put(self, put: StorePut, lease: str) -> dict[str, Any]:
+    def encode_put(self, put: StorePut) -> dict[str, Any]:
         """Build one write of a transaction."""
-        request = {
-            'key': self.encode_key(put.key),
-            'value': encode_bytes(put.content),
+        return {
+            'request_put': {
+                'key': self.encode_key(put.key),
+                'value': encode_bytes(put.content),
+            },
+        }
+
+    def encode_delete(self, bounds: tuple[str, str]) -> dict[str, Any]:
+        """Build the removal of a range in a transaction."""
+        first, end = bounds
+        return {
+            'request_delete_range': {
+                'key': self.encode_key(first),
+                'range_end': self.encode_key(end),
+            },
         }
-        if lease:
-            request['lease'] = lease
-        return {'request_put': request}
 
     def encode_watch(self, key: str, after_revision: int) -> dict[str, Any]:
         """Build the request that starts a watch."""
--- /dev/null
+++ b/bergamotshunt/tests/test_kernel.py
@@ -0,0 +1,91 @@
+"""The kernel: questions between tasks and their end."""
+
+from asyncio import Event, create_task, run, sleep
+from random import Random
+
+import pytest
+
+from bergamotshunt.kernel import (
+    Context,
+    HandlerTable,
+    NoHandlerError,
+    Post,
+    Task,
+    TaskStoppedError,
+)
+from bergamotshunt.messages import DescribeTask, SubmitChange
+from bergamotshunt.plugins.admin import AdminTask
+from bergamotshunt.settings import Settings
+
+HANDLERS = HandlerTable()
+CHANGE = SubmitChange('jar-ledger', None, 1, 'ana', 'why', 's1')
+
+
+class SlowTask(Task):
+    handlers = HANDLERS
+
+    def __init__(self, context: Context) -> None:
+        super().__init__(context)
+        self.asked = Event()
+        self.release = Event()
+
+
+@HANDLERS.on(SubmitChange)
+async def wait_long(task: SlowTask, _message: SubmitChange) -> str:
+    task.asked.set()
+    await task.release.wait()
+    return 'done'
+
+
+def create_context() -> Context:
+    return Context(Settings(), Post(), Random(1), 1)
+
+
+def test_question_to_a_stopped_task_ends_with_an_error() -> None:
+    """Guards against a cancelled asker, which answers a bare 500."""
+
+    async def scenario() -> None:
+        context = create_context()
+        task = SlowTask(context)
+        loop = create_task(task.run())
+        asking = create_task(context.post.ask(CHANGE))
+        await task.asked.wait()
+        await task.close()
+        with pytest.raises(TaskStoppedError):
+            await asking
+        loop.cancel()
+
+    run(scenario())
+
+
+def test_question_without_a_handler_is_an_error() -> None:
+    """Guards against an asker that waits for nobody."""
+
+    async def scenario() -> None:
+        with pytest.raises(NoHandlerError):
+            await create_context().post.ask(DescribeTask())
+
+    run(scenario())
+
+
+def test_stopped_submission_is_told_as_unknown_and_drain_waits() -> None:
+    """Guards against a submission without a verdict when a daemon stops."""
+
+    async def scenario() -> None:
+        context = create_context()
+        slow = SlowTask(context)
+        admin = AdminTask(context)
+        loop = create_task(slow.run())
+        submitting = create_task(admin.ask_to_submit(CHANGE))
+        await slow.asked.wait()
+        draining = create_task(admin.drain())
+        await sleep(0)
+        assert not draining.done()
+        await slow.close()
+        failure = (await submitting).failure()
+        assert failure.kind.value == 'outcome-unknown'
+        await draining
+        loop.cancel()
+        await admin.close()
+
+    run(scenario())
--- a/bergamotshunt/tests/test_measuring.py
+++ b/bergamotshunt/tests/test_measuring.py
@@ -124,3 +124,16 @@
         health = weigh(health, Evidence.PROBE_HEALTHY, now_ms)
     assert pauses[:3] == [1000, 2000, 4000]
     assert max(pauses) == 30_000
+
+
+def test_server_that_drains_by_itself_is_left_within_one_probe() -> None:
+    """Guards against refusals that count as signs of good health."""
+    health = HealthState(server_state=ServerState.SERVING)
+    for step in range(3):
+        health = weigh(health, Evidence.REFUSED, step)
+    assert health.server_state is ServerState.SERVING
+    drained = weigh(health, Evidence.PROBE_FAILED, 10)
+    assert drained.server_state is ServerState.DOWN
+    answering = weigh(health, Evidence.ANSWERED, 10)
+    shedding = weigh(answering, Evidence.PROBE_FAILED, 11)
+    assert shedding.server_state is ServerState.SERVING
