Refuse new work right after a long stop of the process

Cause: a daemon that was stopped (SIGSTOP, a paused host) and woken served a few calls under targets that could be minutes old, until the first tick of the keeper published that they were no longer confirmed.

Ruled out: a check of the wake-up by the entry's own timers; calls that wait in the socket are read before any timer runs.

Conclusion: the bound on stale targets holds also across a stop.

--- a/bergamotshunt/backend_calls.py
+++ b/bergamotshunt/backend_calls.py
@@ -70,7 +70,7 @@
             body: Its body.
             note_start: Called before anything is sent to the server.
         """
-        refusal = self.gate.refusal()
+        refusal = self.gate.refusal(self.now_ms())
         if refusal is not None:
             return Failure(refusal)
         match await self.admission.acquire(request.work):
--- a/bergamotshunt/decisions/confirmation.py
+++ b/bergamotshunt/decisions/confirmation.py
@@ -1,11 +1,12 @@
 """Whether a daemon may serve with the targets that it holds."""
 
-from math import ceil, log2
+from math import ceil, inf, log2
 from typing import NamedTuple
 
 from bergamotshunt.messages import ConfirmationChanged
 
 MS_PER_S = 1000
+STALE_DETAIL = 'the targets in force were not confirmed for too long'
 
 
 class Contacts(NamedTuple):
@@ -71,6 +72,23 @@
     return ConfirmationChanged(confirmed=True, detail='')
 
 
+def serve_until_ms(contacts: Contacts, rules: ConfirmationRules) -> float:
+    """Return the time at which new work is refused without any contact.
+
+    Returns:
+        Monotonic time in ms; infinite when nothing limits the service.
+    """
+    if not contacts.loaded:
+        return 0
+    limits_ms = [inf]
+    if contacts.others:
+        limits_ms.append(last_contact_ms(contacts) + rules.within_ms)
+    if rules.refuse_unconfirmed:
+        allowed_ms = rules.within_ms + spread_allowance_ms(contacts, rules)
+        limits_ms.append((contacts.confirmed_ms or 0) + allowed_ms)
+    return min(limits_ms)
+
+
 def last_contact_ms(contacts: Contacts) -> float:
     """Return the time of the last contact of any kind."""
     return max(contacts.platform_ms or 0, contacts.peer_ms or 0)
--- a/bergamotshunt/messages.py
+++ b/bergamotshunt/messages.py
@@ -38,6 +38,19 @@
     detail: str
 
 
+class ServeUntil(NamedTuple):
+    """Until when new work may be accepted without further contact.
+
+    A process that was stopped for a while finds this time passed when it
+    wakes, before any timer of its own has run.
+
+    Attributes:
+        until_ms: Monotonic time in milliseconds; infinite for no limit.
+    """
+
+    until_ms: float
+
+
 class PortBound(NamedTuple):
     """A task listens on a port.
 
--- a/bergamotshunt/plugins/entry.py
+++ b/bergamotshunt/plugins/entry.py
@@ -2,6 +2,7 @@
 
 from asyncio import CancelledError, Event
 from http import HTTPStatus
+from math import inf
 from typing import Any, Final
 
 from returns.result import Failure
@@ -22,6 +23,7 @@
 from bergamotshunt.call_replies import send_answer
 from bergamotshunt.caller import Caller, CallerPlace
 from bergamotshunt.calls import CallHead
+from bergamotshunt.decisions.confirmation import STALE_DETAIL
 from bergamotshunt.headers import CONTENT_LENGTH
 from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
 from bergamotshunt.messages import (
@@ -30,6 +32,7 @@
     DescribeTask,
     MembersChanged,
     PortBound,
+    ServeUntil,
     TargetsChanged,
 )
 from bergamotshunt.targets import TargetSet
@@ -57,6 +60,7 @@
         """Create the task; ``open`` binds the port."""
         super().__init__(context)
         self.target_set = TargetSet(0, {})
+        self.serve_until_ms = inf
         # Reasons to refuse all new calls, by cause.
         self.refusals: dict[str, str] = {
             'no-targets': 'this daemon has not learned the targets yet'
@@ -148,6 +152,8 @@
         if self.refusals:
             reason, detail = next(iter(self.refusals.items()))
             return create_refusal(reason, detail)
+        if self.now_ms() > self.serve_until_ms:
+            return create_refusal('unconfirmed', STALE_DETAIL)
         calls = self.settings.calls
         if self.in_flight >= calls.max_in_flight:
             return create_refusal(
@@ -257,6 +263,12 @@
     replace_refusal(task, 'unconfirmed', '' if message.confirmed else detail)
 
 
+@HANDLERS.on(ServeUntil)
+def update_limit(task: EntryTask, message: ServeUntil) -> None:
+    """Take over until when the targets may be used."""
+    task.serve_until_ms = message.until_ms
+
+
 @HANDLERS.on(DaemonReplaced)
 def update_replaced(task: EntryTask, message: DaemonReplaced) -> None:
     """Refuse new calls while another process holds this daemon's id."""
--- a/bergamotshunt/plugins/guard.py
+++ b/bergamotshunt/plugins/guard.py
@@ -22,6 +22,7 @@
     MembersChanged,
     PortBound,
     ServerStateChanged,
+    ServeUntil,
     TargetsChanged,
 )
 from bergamotshunt.peer_api import PREFIX
@@ -137,6 +138,12 @@
     task.gate.unconfirmed = '' if message.confirmed else message.detail
 
 
+@HANDLERS.on(ServeUntil)
+def update_limit(task: GuardTask, message: ServeUntil) -> None:
+    """Take over until when the targets may be used."""
+    task.gate.serve_until_ms = message.until_ms
+
+
 @HANDLERS.on(HealthObserved)
 def note_health(task: GuardTask, message: HealthObserved) -> None:
     """Take a probe into account."""
--- a/bergamotshunt/plugins/keeper.py
+++ b/bergamotshunt/plugins/keeper.py
@@ -10,6 +10,7 @@
     confirmation_age_ms,
     decide_confirmation,
     needs_platform,
+    serve_until_ms,
 )
 from bergamotshunt.decisions.keeping import (
     KeeperState,
@@ -29,7 +30,9 @@
 from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
 from bergamotshunt.log import log_event
 from bergamotshunt.members import Member
-from bergamotshunt.messages import (
+
+# A task names every message that it handles or publishes.
+from bergamotshunt.messages import (  # noqa: WPS235
     ChangeHeard,
     ConfirmationChanged,
     DescribeTask,
@@ -37,6 +40,7 @@
     PeerReached,
     RevisionHeard,
     RevisionInForce,
+    ServeUntil,
     TargetsChanged,
 )
 from bergamotshunt.metrics import (
@@ -176,6 +180,8 @@
         decided = decide_confirmation(
             self.state.contacts, self.rules, self.now_ms()
         )
+        until_ms = serve_until_ms(self.state.contacts, self.rules)
+        self.post.publish(ServeUntil(until_ms))
         changed = decided.confirmed != self.confirmation.confirmed
         self.confirmation = decided
         if changed:
--- a/bergamotshunt/server_gate.py
+++ b/bergamotshunt/server_gate.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
+from math import inf
 from typing import Final
 
+from bergamotshunt.decisions.confirmation import STALE_DETAIL
 from bergamotshunt.decisions.health import Evidence, HealthState, weigh
 from bergamotshunt.members import ServerState
 from bergamotshunt.verdicts import CallFailure, create_refusal
@@ -35,6 +37,7 @@
         self.draining = False
         self.has_targets = False
         self.unconfirmed = ''
+        self.serve_until_ms = inf
 
     @property
     def server_state(self) -> ServerState:
@@ -43,14 +46,15 @@
             return ServerState.DRAINING
         return self.health.server_state
 
-    def refusal(self) -> CallFailure | None:
+    def refusal(self, now_ms: float) -> CallFailure | None:
         """Tell why new work is refused; None when it is accepted."""
         if self.draining:
             return refuse('draining', 'the server is leaving')
         if not self.has_targets:
             return refuse('no-targets', 'no targets of this service are known')
-        if self.unconfirmed:
-            return refuse('unconfirmed', self.unconfirmed)
+        stale = STALE_DETAIL if now_ms > self.serve_until_ms else ''
+        if self.unconfirmed or stale:
+            return refuse('unconfirmed', self.unconfirmed or stale)
         if self.health.server_state is ServerState.DOWN:
             return refuse('server-down', 'the backend server is down')
         return None
--- a/bergamotshunt/tests/test_entry.py
+++ b/bergamotshunt/tests/test_entry.py
@@ -15,11 +15,13 @@
     ConfirmationChanged,
     MembersChanged,
     ResolveBooking,
+    ServeUntil,
     TargetsChanged,
 )
 from bergamotshunt.plugins.entry import (
     EntryTask,
     update_confirmation,
+    update_limit,
     update_members,
     update_targets,
 )
@@ -182,6 +184,22 @@
     run(work())
 
 
+def test_woken_daemon_refuses_before_its_timers_run() -> None:
+    """Guards against service by old targets right after a long stop."""
+
+    async def work() -> None:
+        async with EntryBench(Peer('a', reply())) as bench:
+            url = f'{bench.url}/jar-ledger/balances/1'
+            bench.begin()
+            now_ms = bench.entry.now_ms()
+            for until_ms, status in ((now_ms - 1, 503), (now_ms + 60_000, 200)):
+                update_limit(bench.entry, ServeUntil(until_ms))
+                async with bench.session.get(url) as answer:
+                    assert answer.status == status
+
+    run(work())
+
+
 def test_calls_beyond_the_bound_are_refused_and_drain_waits() -> None:
     """Guards against memory without bound, and against a lost call."""
 
--- a/bergamotshunt/tests/test_guard.py
+++ b/bergamotshunt/tests/test_guard.py
@@ -1,6 +1,7 @@
 """The guard with real sockets: verdicts, whole answers, admission, drain."""
 
 import asyncio
+from math import inf
 
 import pytest
 from returns.pipeline import is_successful
@@ -23,6 +24,7 @@
     DescribeLoad,
     DrainRequested,
     ServerStateChanged,
+    ServeUntil,
 )
 from bergamotshunt.tests.guard_bench import (
     BUFFER_BYTES,
@@ -284,6 +286,11 @@
         assert b'no peer answers' in answer.body
         assert answer.headers[VERDICT] == 'not-run'
         bench.post.publish(ConfirmationChanged(True, ''))
+        bench.post.publish(ServeUntil(bench.guard.now_ms() - 1))
+        await asyncio.sleep(0)
+        answer = await bench.ask()
+        assert (answer.status, answer.headers[VERDICT]) == (503, 'not-run')
+        bench.post.publish(ServeUntil(inf))
         await asyncio.sleep(0)
         asking = asyncio.create_task(bench.ask())
         await (await bench.backend.next()).send(b'')
--- a/bergamotshunt/tests/test_targets_decisions.py
+++ b/bergamotshunt/tests/test_targets_decisions.py
@@ -10,6 +10,7 @@
     Contacts,
     decide_confirmation,
     needs_platform,
+    serve_until_ms,
 )
 from bergamotshunt.decisions.keeping import (
     KeeperState,
@@ -272,3 +273,17 @@
     assert checked.service == service._replace(revision=0)
     refused = check_service({**describe_service(service), 'revision': -1}, 'x')
     assert 'revision' in {error.field for error in refused.errors}
+
+
+@pytest.mark.parametrize('refuse_unconfirmed', [False, True])
+@pytest.mark.parametrize('others', [0, 3])
+def test_service_ends_exactly_when_the_confirmation_does(
+    others: int, refuse_unconfirmed: bool
+) -> None:
+    """Guards against two rules that differ on when to stop."""
+    rules = ConfirmationRules(6000, refuse_unconfirmed, 1000)
+    contacts = Contacts(True, 1000, 2000, 1500, others)
+    until_ms = serve_until_ms(contacts, rules)
+    for now_ms in range(2000, 20_000, 250):
+        decided = decide_confirmation(contacts, rules, now_ms)
+        assert decided.confirmed is (now_ms <= until_ms), now_ms
