--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH := $(CURDIR)
 export PYTHONDONTWRITEBYTECODE = 1
 
-.PHONY: run test lint format types unit measure faults install
+.PHONY: run test lint format types unit measure faults faults-ci install
 
 install: $(VENV)/.installed
 
@@ -29,7 +29,10 @@
 unit: install
 	$(PY) -m pytest $(ARGS)
 
-test: lint unit
+test: lint unit faults-ci
+
+faults-ci: install
+	$(PY) -m bench.faults --part ci
 
 measure: install
 	$(PY) -m bench.measure $(ARGS)
