Split the platform stand-in by job

Cause: one module of 382 lines held faults, limits, answers, the service and the process. Change: faults and limits, answers, service, and process are modules of their own; no behaviour changes.

--- /dev/null
+++ b/standins/platform_service.py
@@ -0,0 +1,272 @@
+"""The key-value service of the platform stand-in, as an ASGI application."""
+
+from asyncio import Event as AsyncioEvent
+from asyncio import Queue, sleep
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from time import monotonic
+from typing import Any, Final
+
+from msgspec.json import decode
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from standins.platform_answers import answer_json, drop, encode_line, refuse
+from standins.platform_data import (
+    Event,
+    KeyValueData,
+    RefusedError,
+    Stored,
+    decode_key,
+    describe_event,
+)
+from standins.platform_faults import Faults, Limits, Window
+
+CONTROL_PATH: Final = '/control'
+TOO_MANY: Final = 429
+MAX_BODY_BYTES: Final = 4_000_000
+
+
+class PlatformStandIn:
+    """Key-value service in memory.
+
+    Args:
+        limits: Rates beyond which calls get status 429.
+        clock: Monotonic time in seconds.
+
+    Attributes:
+        app: ASGI application, for an ``HttpServer``.
+        calls: Number of calls by kind; ``limited`` are those refused by
+            rate, ``dropped`` those closed while the service was down.
+    """
+
+    def __init__(
+        self,
+        limits: Limits = Limits(),
+        clock: Callable[[], float] = monotonic,
+    ) -> None:
+        """Create an empty service."""
+        self.data = KeyValueData(clock)
+        self.faults = Faults()
+        self.calls = Counter[str]()
+        self.watching = 0
+        self.faults_changed = AsyncioEvent()
+        self.writes = Window(limits.writes_per_s, clock)
+        self.reads = Window(limits.reads_per_s, clock)
+        self.app = self.serve
+        self._stale_data: KeyValueData | None = None
+        self._transports: set[Any] = set()
+        self._routes = Starlette(
+            routes=[
+                self._route('/v3/kv/range', 'range', self.reads, self._range),
+                self._route('/v3/kv/txn', 'txn', self.writes, self._txn),
+                self._route(
+                    '/v3/lease/grant', 'lease-grant', self.writes, self._grant
+                ),
+                self._route(
+                    '/v3/lease/keepalive',
+                    'lease-keepalive',
+                    self.writes,
+                    self._keep_alive,
+                ),
+                self._route(
+                    '/v3/lease/revoke',
+                    'lease-revoke',
+                    self.writes,
+                    self._revoke,
+                ),
+                self._route('/v3/watch', 'watch', self.reads, self._watch),
+                Route(CONTROL_PATH, self.control, methods=['GET', 'POST']),
+            ]
+        )
+
+    @property
+    def by_key(self) -> dict[str, Stored]:
+        """Return the values by key, to look at or to prepare."""
+        return self.data.by_key
+
+    def set_faults(self, **fields: Any) -> None:
+        """Change some of the faults; a service that goes down drops all."""
+        stale_before = self.faults.stale
+        self.faults = self.faults._replace(**fields)
+        if self.faults.stale and not stale_before:
+            self._stale_data = self.data.copy()
+        if not self.faults.stale:
+            self._stale_data = None
+        if self.faults.down:
+            self.reset_connections()
+        self.faults_changed.set()
+
+    def reset_connections(self) -> None:
+        """Close all connections with a call or a watch in progress."""
+        for transport in tuple(self._transports):
+            transport.abort()
+
+    def expire_leases(self) -> None:
+        """End all leases now, as if their holders had been paused."""
+        self.data.expire(everything=True)
+
+    async def serve(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one call (ASGI)."""
+        if scope['path'] == CONTROL_PATH:
+            await self._routes(scope, receive, send)
+            return
+        # The cycle of uvicorn owns ``send``; only it knows the transport.
+        transport = send.__self__.transport
+        if self.faults.down:
+            self.calls['dropped'] += 1
+            await drop(transport, receive)
+            return
+        self._transports.add(transport)
+        try:
+            await self._serve_call(scope, receive, send, transport)
+        finally:
+            self._transports.discard(transport)
+
+    async def _serve_call(
+        self, scope: Any, receive: Any, send: Any, transport: Any
+    ) -> None:
+        if self.faults.delay_ms:
+            await sleep(self.faults.delay_ms / 1000)
+        lost = False
+
+        async def send_or_lose(message: Any) -> None:
+            nonlocal lost
+            starts = message['type'] == 'http.response.start'
+            if starts and scope.get('wrote') and self.faults.lose_answers:
+                left = self.faults.lose_answers - 1
+                self.calls['lost'] += 1
+                lost = True
+                transport.abort()
+                down = self.faults.down_after_loss or self.faults.down
+                self.set_faults(lose_answers=left, down=down)
+            if not lost:
+                await send(message)
+
+        await self._routes(scope, receive, send_or_lose)
+        if lost:
+            await drop(transport, receive)
+
+    def _route(
+        self, path: str, kind: str, window: Window, answer: Any
+    ) -> Route:
+        async def handle(request: Request) -> Response:
+            self.calls[kind] += 1
+            if not window.admit():
+                self.calls['limited'] += 1
+                return refuse(RefusedError(TOO_MANY, 8, 'too many requests'))
+            content = await request.body()
+            if len(content) > MAX_BODY_BYTES:
+                detail = 'etcdserver: request is too large'
+                return refuse(RefusedError(400, 3, detail))
+            self.data.expire()
+            try:
+                return answer(decode(content), request.scope)
+            except RefusedError as error:
+                return refuse(error)
+            except (ValueError, KeyError, TypeError) as error:
+                return refuse(RefusedError(400, 3, repr(error)))
+
+        return Route(path, handle, methods=['POST'])
+
+    def _range(self, body: Any, _scope: Any) -> Response:
+        return answer_json((self._stale_data or self.data).read(body))
+
+    def _txn(self, body: Any, scope: Any) -> Response:
+        answer = self.data.run(body)
+        scope['wrote'] = 'succeeded' in answer
+        return answer_json(answer)
+
+    def _grant(self, body: Any, scope: Any) -> Response:
+        ttl_s = int(body.get('TTL', 0))
+        lease_id = self.data.grant(ttl_s)
+        scope['wrote'] = True
+        return answer_json(
+            {
+                'header': self.data.header(),
+                'ID': str(lease_id),
+                'TTL': str(ttl_s),
+            }
+        )
+
+    def _keep_alive(self, body: Any, _scope: Any) -> Response:
+        lease_id = int(body['ID'])
+        renewed = {
+            'header': self.data.header(),
+            'ID': str(lease_id),
+            'TTL': str(self.data.keep_alive(lease_id)),
+        }
+        return answer_json({'result': renewed})
+
+    def _revoke(self, body: Any, scope: Any) -> Response:
+        self.data.revoke(int(body['ID']))
+        scope['wrote'] = True
+        return answer_json({'header': self.data.header()})
+
+    def _watch(self, body: Any, _scope: Any) -> Response:
+        request = body['create_request']
+        return StreamingResponse(
+            self._stream(request), media_type='application/json'
+        )
+
+    async def _stream(self, request: dict[str, Any]) -> AsyncIterator[bytes]:
+        first = decode_key(request['key'])
+        end = decode_key(request.get('range_end', '')) or f'{first}\0'
+        start = int(request.get('start_revision', 0))
+        data = self._stale_data or self.data
+        queue: Queue[Event] = Queue()
+        data.listeners.add(queue.put_nowait)
+        self.watching += 1
+        try:
+            yield encode_line(
+                {'header': data.header(), 'watch_id': '0', 'created': True}
+            )
+            kept = tuple(data.events)
+            oldest = kept[0].revision if kept else 0
+            if 0 < start < oldest and len(kept) == data.events.maxlen:
+                yield encode_line(
+                    {'canceled': True, 'compact_revision': str(oldest)}
+                )
+                return
+            past = [event for event in kept if 0 < start <= event.revision]
+            while not queue.empty():
+                queue.get_nowait()
+            while True:
+                for event in past:
+                    if first <= event.key < end:
+                        yield encode_line(
+                            {
+                                'header': data.header(),
+                                'watch_id': '0',
+                                'events': [describe_event(event)],
+                            }
+                        )
+                past = [await queue.get()]
+        finally:
+            self.watching -= 1
+            data.listeners.discard(queue.put_nowait)
+
+    async def control(self, request: Request) -> Response:
+        """Show or set the faults."""
+        if request.method == 'POST':
+            wanted = decode(await request.body())
+            if wanted.pop('expire_leases', False):
+                self.expire_leases()
+            if wanted.pop('reset_connections', False):
+                self.reset_connections()
+            if wanted.pop('reset_counts', False):
+                self.calls.clear()
+            if not set(wanted) <= set(Faults._fields):
+                return refuse(RefusedError(400, 3, 'unknown fault'))
+            self.set_faults(**wanted)
+        return answer_json(
+            {
+                'faults': self.faults._asdict(),
+                'calls': dict(self.calls),
+                'watching': self.watching,
+                'revision': self.data.revision,
+                'keys': len(self.by_key),
+            }
+        )
