Tell a server that says it is unhealthy from a silent one

A busy server sheds load and may let a probe time out, and would be taken out just when its peers are busy too.

Ruled out: a larger number of failed probes; a draining server would get work for seconds more.

Change: only a probe that the server answered as unhealthy counts together with refusals; a probe without an answer counts as before.

Conclusion: draining ends service at once, overload does not.

--- a/bergamotshunt/decisions/health.py
+++ b/bergamotshunt/decisions/health.py
@@ -23,6 +23,7 @@
     """What a probe or a request has shown."""
 
     PROBE_HEALTHY = 'probe-healthy'
+    PROBE_UNHEALTHY = 'probe-unhealthy'
     PROBE_FAILED = 'probe-failed'
     ANSWERED = 'answered'
     REFUSED = 'refused'
@@ -47,6 +48,7 @@
         healthy_probes: Healthy probes in a row.
         failure_score: Sum over failed requests in a row.
         refusals: Requests in a row that the server itself refused.
+        told_unhealthy: Whether the server said so at the last probe.
         down_until_ms: No return before this monotonic time.
         pause_ms: Length of the last pause.
     """
@@ -56,6 +58,7 @@
     healthy_probes: int = 0
     failure_score: int = 0
     refusals: int = 0
+    told_unhealthy: bool = False
     down_until_ms: float = 0
     pause_ms: float = 0
 
@@ -71,7 +74,12 @@
     outweigh healthy probes: probes can be stale or misleading.
     """
     if evidence is Evidence.ANSWERED:
-        return health._replace(failed_probes=0, failure_score=0, refusals=0)
+        return health._replace(
+            failed_probes=0,
+            failure_score=0,
+            refusals=0,
+            told_unhealthy=False,
+        )
     if evidence is Evidence.PROBE_HEALTHY:
         return note_healthy_probe(health, now_ms)
     if evidence is Evidence.REFUSED:
@@ -80,10 +88,12 @@
             failure_score=0,
             refusals=health.refusals + 1,
         )
-    elif evidence is Evidence.PROBE_FAILED:
+    elif evidence in {Evidence.PROBE_UNHEALTHY, Evidence.PROBE_FAILED}:
+        # A probe without an answer may only show that the server is busy.
         failing = health._replace(
             failed_probes=health.failed_probes + 1,
             healthy_probes=0,
+            told_unhealthy=evidence is Evidence.PROBE_UNHEALTHY,
         )
     else:
         score = health.failure_score + FAILURE_SCORES[evidence]
@@ -95,6 +105,7 @@
     """Count a healthy probe; enough of them bring the server back."""
     healthy = health._replace(
         failed_probes=0,
+        told_unhealthy=False,
         healthy_probes=health.healthy_probes + 1,
     )
     if health.server_state is ServerState.SERVING:
@@ -116,7 +127,7 @@
     is_failing = (
         health.failed_probes >= FAILED_PROBES_TO_DOWN
         or health.failure_score >= FAILURE_SCORE_TO_DOWN
-        or (health.failed_probes and health.refusals >= REFUSALS_TO_DRAIN)
+        or (health.told_unhealthy and health.refusals >= REFUSALS_TO_DRAIN)
     )
     if not is_failing or health.server_state is not ServerState.SERVING:
         return health
--- a/bergamotshunt/messages.py
+++ b/bergamotshunt/messages.py
@@ -259,9 +259,15 @@
 
 
 class HealthObserved(NamedTuple):
-    """The prober saw the health of the local backend server."""
+    """The prober saw the health of the local backend server.
+
+    Attributes:
+        healthy: Whether the server is healthy.
+        answered: Whether the server itself said so.
+    """
 
     healthy: bool
+    answered: bool = True
 
 
 class DescribeLoad(NamedTuple):
--- a/bergamotshunt/plugins/guard.py
+++ b/bergamotshunt/plugins/guard.py
@@ -150,6 +150,8 @@
     evidence = Evidence.PROBE_FAILED
     if message.healthy:
         evidence = Evidence.PROBE_HEALTHY
+    elif message.answered:
+        evidence = Evidence.PROBE_UNHEALTHY
     task.gate.note(evidence, task.now_ms())
 
 
--- a/bergamotshunt/plugins/prober.py
+++ b/bergamotshunt/plugins/prober.py
@@ -133,7 +133,8 @@
             await self.probe_load()
             return
         outcome = await self.ask_server(self.server.health_path)
-        self.post.publish(HealthObserved(healthy=is_healthy(outcome)))
+        has_answered = bool(outcome[0])
+        self.post.publish(HealthObserved(is_healthy(outcome), has_answered))
 
     async def probe_load(self) -> None:
         """Take the load that the server reports into the metrics."""
