State the open fault under overload

Change: the page of faults names it. Conclusion: open; the next step is to record connections at the load tool and at the entry in the same run.

--- a/bench/fault_report.py
+++ b/bench/fault_report.py
@@ -17,6 +17,11 @@
     'a real server does after it began a run is not seen.',
     'Links hold bytes while they are cut; loss inside TCP is not modelled.',
     'Pairs are a fixed choice; most pairs of faults were not run together.',
+    'Whole answers and not run under overload: with 24 to 40 times the '
+    'certificates, 2 of 25 loaded runs of 4 s had answers that were not '
+    "the caller's own, and 1 had status 500 without a request id; the cause "
+    'is open, and the load tool is not ruled out. A daemon logged EBADF in '
+    'one other run.',
     'The drain property is judged at the step "drain" of a member\'s life '
     'only, 3 s after the drain began and before the further fault.',
 )
