Log no fault when tasks stop one after the other

Cause: since questions to a stopped task end with an error, each stop of a daemon logged task:child-failed for the reader, which asks the store. Ruled out: another order of stopping, as questions go both ways. Change: a child that ends with TaskStoppedError is not logged. Conclusion: an error line means a fault again.

--- a/bergamotshunt/kernel.py
+++ b/bergamotshunt/kernel.py
@@ -241,7 +241,9 @@
         if child.cancelled():
             return
         error = child.exception()
-        if error is not None:
+        # Tasks stop one after the other; a question to one that stopped
+        # first is no fault of the child that asked it.
+        if error is not None and not isinstance(error, TaskStoppedError):
             log_error('task:child-failed', error, task=self.name)
 
 
