Remove code that nothing calls and keep seeded tickets in the tests

Cause: read-through of the whole change. transport.check_request_id was replaced by judge_answer of answer_reading, decisions.tickets.create_ticket was called by tests only while the product makes tickets with a nonce of the operating system (make_ticket), and a constant of the test of leases was left over. Ruled out: merging the watches of entry and guard for a leaving sender now; they differ in when they begin. Change: both removed or moved to tests/tickets.py; imports of some tests in order; no behaviour and no assertion changes. Conclusion: one way each to check an answer and to make a ticket.

--- a/bergamotshunt/decisions/tickets.py
+++ b/bergamotshunt/decisions/tickets.py
@@ -1,6 +1,5 @@
 """Booking tickets: their text form, and the process that owns them."""
 
-from random import Random
 from re import ASCII
 from re import compile as compile_pattern
 from typing import Final, NamedTuple
@@ -8,7 +7,6 @@
 from bergamotshunt.messages import Ticket
 
 PREFIX: Final = 'bk1.'
-NONCE_BITS: Final = 128
 _NUMBER = '(0|[1-9][0-9]{0,17})'
 _NAME = '([A-Za-z0-9_-]{1,64})'
 _TICKET = compile_pattern(
@@ -56,12 +54,6 @@
     return Ticket(daemon_id, int(process_id), int(era), nonce)
 
 
-def create_ticket(owner: ProcessName, era: int, rng: Random) -> Ticket:
-    """Create a ticket with a random part of 128 bits."""
-    nonce = f'{rng.getrandbits(NONCE_BITS):032x}'
-    return Ticket(owner.daemon_id, owner.process_id, era, nonce)
-
-
 def format_process(process: ProcessName) -> str:
     """Return the text form of a process name."""
     return f'{process.daemon_id}.{process.process_id}'
--- a/bergamotshunt/tests/guard_bench.py
+++ b/bergamotshunt/tests/guard_bench.py
@@ -7,7 +7,7 @@
 from types import MappingProxyType
 from typing import Any
 
-from bergamotshunt.decisions.tickets import ProcessName, create_ticket
+from bergamotshunt.decisions.tickets import ProcessName
 from bergamotshunt.decisions.tickets import format_ticket as format_text
 from bergamotshunt.headers import BOOKING_KEY, REQUEST_ID, TICKET
 from bergamotshunt.kernel import Context, Kernel, Mailbox, Post
@@ -22,6 +22,7 @@
     Settings,
 )
 from bergamotshunt.targets import ServiceTargets, Target, TargetSet
+from bergamotshunt.tests.tickets import create_ticket
 from bergamotshunt.transport import HttpAnswer, HttpRequest, Sender
 
 SERVICE = 'jar-ledger'
--- a/bergamotshunt/tests/peers.py
+++ b/bergamotshunt/tests/peers.py
@@ -10,8 +10,8 @@
 
 from bergamotshunt.booking_calls import BookingOwners, Ownership
 from bergamotshunt.call_parts import CallBody
-from bergamotshunt.calling import Outcome
 from bergamotshunt.caller import Caller, CallerPlace
+from bergamotshunt.calling import Outcome
 from bergamotshunt.calls import CallHead
 from bergamotshunt.members import Member, ServerState
 from bergamotshunt.messages import Ticket
--- a/bergamotshunt/tests/test_booking_machine.py
+++ b/bergamotshunt/tests/test_booking_machine.py
@@ -23,7 +23,6 @@
 )
 from bergamotshunt.decisions.tickets import (
     ProcessName,
-    create_ticket,
     owner_of,
 )
 from bergamotshunt.messages import (
@@ -34,6 +33,7 @@
     StoreGet,
     Ticket,
 )
+from bergamotshunt.tests.tickets import create_ticket
 
 DAEMONS = ('d1', 'd2', 'd3')
 MAX_KEYS = 3
--- a/bergamotshunt/tests/test_bookings.py
+++ b/bergamotshunt/tests/test_bookings.py
@@ -24,7 +24,6 @@
 )
 from bergamotshunt.decisions.tickets import (
     ProcessName,
-    create_ticket,
     era_at,
     format_process,
     format_ticket,
@@ -44,6 +43,7 @@
 )
 from bergamotshunt.plugins.claims import ClaimsTask
 from bergamotshunt.settings import Settings
+from bergamotshunt.tests.tickets import create_ticket
 from bergamotshunt.verdicts import Verdict
 
 OWN = ProcessName('d1', 17)
--- a/bergamotshunt/tests/test_processes.py
+++ b/bergamotshunt/tests/test_processes.py
@@ -8,8 +8,8 @@
 from bench.judges import find_faults
 from bench.load import Loader, Outcome
 from bench.plans import Call, plan_calls
-from bench.shapes import SMALL
 from bench.processes import Child, poll_until
+from bench.shapes import SMALL
 
 SECONDS = 3
 SEED = 11
--- a/bergamotshunt/tests/test_store.py
+++ b/bergamotshunt/tests/test_store.py
@@ -32,8 +32,6 @@
 from bergamotshunt.settings import PlatformSettings, Settings
 from standins.platform import Limits, PlatformServer, PlatformStandIn
 
-DAY_S = 86_400
-
 
 class Bench(NamedTuple):
     """A store task with its platform."""
--- a/bergamotshunt/tests/test_views.py
+++ b/bergamotshunt/tests/test_views.py
@@ -3,8 +3,8 @@
 from random import Random
 
 from bergamotshunt.calls import LoadReport
-from bergamotshunt.tests.test_call_decisions import member_of
 from bergamotshunt.latencies import AttemptEnd
+from bergamotshunt.tests.test_call_decisions import member_of
 from bergamotshunt.views import ServiceView, ViewRules
 
 
--- a/bergamotshunt/transport.py
+++ b/bergamotshunt/transport.py
@@ -20,7 +20,7 @@
 
 from bergamotshunt.connections import CleanConnector
 from bergamotshunt.decisions.deadlines import connect_timeout_ms
-from bergamotshunt.headers import CONTENT_LENGTH, HOP_BY_HOP, REQUEST_ID
+from bergamotshunt.headers import CONTENT_LENGTH, HOP_BY_HOP
 from bergamotshunt.verdicts import (
     CallFailure,
     create_refusal,
@@ -305,21 +305,6 @@
     return create_unknown_outcome('connection-lost', detail)
 
 
-def check_request_id(
-    answer: HttpAnswer,
-    request_id: str,
-) -> Result[HttpAnswer, CallFailure]:
-    """Check that the answer belongs to the request."""
-    if answer.headers.get(REQUEST_ID) == request_id:
-        return Success(answer)
-    return Failure(
-        create_unknown_outcome(
-            'foreign-answer',
-            'the answer does not carry the id of this request',
-        ),
-    )
-
-
 def end_to_end(headers: Mapping[str, str]) -> tuple[tuple[str, str], ...]:
     """Drop hop-by-hop headers and the length."""
     return tuple(
