--- a/bergamotshunt/__main__.py
+++ b/bergamotshunt/__main__.py
@@ -1,6 +1,26 @@
 """Entry point of ``python -m bergamotshunt``."""
 
-from bergamotshunt.cli import main
+from sys import argv
+from sys import exit as exit_process
+from typing import Final
+
+MESH_COMMAND: Final = ['daemon', '--platform']
+
+
+def main() -> None:
+    """Run the command line.
+
+    The daemon on the platform imports only what it needs: memory is
+    scarce on its hosts.
+    """
+    if argv[1:] == MESH_COMMAND:
+        from bergamotshunt.mesh_daemon import run_mesh_daemon
+
+        exit_process(run_mesh_daemon())
+    from bergamotshunt.cli import main as run_command_line
+
+    run_command_line()
+
 
 if __name__ == '__main__':
     main()
--- /dev/null
+++ b/bergamotshunt/decisions/placement.py
@@ -0,0 +1,116 @@
+"""Choice of a backend server by the expected time to its answer."""
+
+from collections.abc import Sequence
+from random import Random
+from typing import Final, NamedTuple
+
+from bergamotshunt.loads import Load
+
+# Work slows down on a server whose slots are nearly all taken.
+CROWDED_SHARE: Final = 0.8
+CROWDED_FACTOR: Final = 1.0
+# A server that has just started needs about twice as long.
+COLD_FACTOR: Final = 2.0
+COLD_FULL_MS: Final = 1500.0
+# A round trip to another zone, and the bytes that it costs.
+FAR_MS: Final = 4.0
+# Servers within this margin of the best are as good as the best, which
+# spreads the requests of daemons that read the same reports.
+MARGIN_SHARE: Final = 0.12
+MARGIN_MS: Final = 2.0
+# A report this old says little; the server may be gone.
+STALE_MS: Final = 400.0
+STALE_COST_MS: Final = 400.0
+ASSUMED_WORK_MS: Final = 60.0
+
+
+class ServerView(NamedTuple):
+    """A backend server as one chooser sees it.
+
+    Attributes:
+        instance: Lifetime of the server.
+        near: Whether it is in the chooser's availability zone.
+        load: Last load report.
+        age_ms: Age of that report.
+        unseen: Own requests that the report cannot contain.
+        fault_share: Smoothed share of failed requests.
+    """
+
+    instance: str
+    near: bool
+    load: Load
+    age_ms: float
+    unseen: int = 0
+    fault_share: float = 0
+
+
+class Estimate(NamedTuple):
+    """Expected time to the answer of one more request.
+
+    Attributes:
+        total_ms: All of it.
+        wait_ms: Time in the queue.
+    """
+
+    total_ms: float
+    wait_ms: float
+
+
+def estimate(view: ServerView, work_ms: float) -> Estimate:
+    """Estimate the time to the answer of one more request.
+
+    Args:
+        view: The server.
+        work_ms: Usual time of such a request.
+    """
+    load = view.load
+    limit = max(load.limit, 1)
+    running = load.running + view.unseen
+    pace = max(load.pace, 0.2)
+    if load.cold_ms > 0:
+        pace *= 1 + (COLD_FACTOR - 1) * min(load.cold_ms / COLD_FULL_MS, 1)
+    ahead = load.waiting + max(running + 1 - limit, 0)
+    turn_ms = (load.work_ms or work_ms) * pace / limit
+    wait_ms = ahead * turn_ms
+    crowd = max(min(running / limit, 1) - CROWDED_SHARE, 0)
+    work = work_ms * pace * (1 + CROWDED_FACTOR * crowd)
+    total_ms = wait_ms + work
+    if not view.near:
+        total_ms += FAR_MS
+    if view.age_ms > STALE_MS:
+        total_ms += STALE_COST_MS * view.age_ms / STALE_MS
+    if view.fault_share:
+        # A failed request costs another run elsewhere.
+        total_ms /= max(1 - view.fault_share, 0.05)
+    return Estimate(total_ms, wait_ms)
+
+
+class Choice(NamedTuple):
+    """The chosen server and what is expected of it."""
+
+    instance: str
+    estimate: Estimate
+
+
+def choose_server(
+    views: Sequence[ServerView],
+    work_ms: float,
+    rng: Random,
+) -> Choice | None:
+    """Choose among the servers that are expected to answer first.
+
+    Returns:
+        The choice, or None when no server takes requests.
+    """
+    serving = [view for view in views if view.load.serving]
+    if not serving:
+        return None
+    choices = [
+        Choice(view.instance, estimate(view, work_ms or ASSUMED_WORK_MS))
+        for view in serving
+    ]
+    best_ms = min(choice.estimate.total_ms for choice in choices)
+    bound_ms = best_ms * (1 + MARGIN_SHARE) + MARGIN_MS
+    return rng.choice(
+        [choice for choice in choices if choice.estimate.total_ms <= bound_ms],
+    )
--- /dev/null
+++ b/bergamotshunt/decisions/slots.py
@@ -0,0 +1,64 @@
+"""How many requests a backend server runs, and how fast it works."""
+
+from typing import Final
+
+# Work slows down when the last slots of a server are taken.
+SLOT_SHARE: Final = 0.8
+ASSUMED_WORK_MS: Final = 60.0
+SMOOTHING: Final = 0.05
+# One answer moves the usual time by a factor of this at most.
+MOST_FACTOR: Final = 3.0
+
+
+def slot_limit(slots: int) -> int:
+    """Return how many requests a server runs at a time without slowing."""
+    return max(int(slots * SLOT_SHARE), 1)
+
+
+class ServerGauge:
+    """Usual time of work on a server, and its pace now.
+
+    Attributes:
+        pace: How long work takes now; 1 is as usual.
+        usual_ms: Usual time of a request.
+        noted_ms: Monotonic time at which the pace was last told.
+    """
+
+    def __init__(self) -> None:
+        """Create a gauge that assumes a usual server."""
+        self.pace = 1.0
+        self.usual_ms = ASSUMED_WORK_MS
+        self.noted_ms: float = 0
+        self._answers = 0
+
+    @property
+    def now_ms(self) -> float:
+        """Expected time of a request at the pace of now."""
+        return self.usual_ms * max(self.pace, 0.2)
+
+    def note_pace(self, pace: float | None, now_ms: float) -> None:
+        """Note the pace that the server told."""
+        if pace is not None:
+            self.pace = pace
+            self.noted_ms = now_ms
+
+    def note_answer(
+        self,
+        took_ms: float,
+        pace: float | None,
+        now_ms: float,
+    ) -> None:
+        """Note how long a request took.
+
+        Args:
+            took_ms: Time from the request to the head of its answer.
+            pace: Pace that the answer told; None when it did not.
+            now_ms: Monotonic time.
+        """
+        usual_ms = took_ms / max(self.pace, pace or self.pace, 1)
+        if self._answers:
+            usual_ms = min(usual_ms, self.usual_ms * MOST_FACTOR)
+        weight = max(SMOOTHING, 1 / (self._answers + 1))
+        self._answers += 1
+        self.usual_ms += (usual_ms - self.usual_ms) * weight
+        self.note_pace(pace, now_ms)
--- /dev/null
+++ b/bergamotshunt/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 on sockets: connections of clients and to servers."""
--- /dev/null
+++ b/bergamotshunt/http/calling.py
@@ -0,0 +1,382 @@
+"""Connections to servers: one request at a time, whole answers only."""
+
+from asyncio import (
+    Event,
+    Future,
+    Protocol,
+    Transport,
+    get_running_loop,
+    timeout,
+)
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+from httptools import HttpParserError, HttpResponseParser
+
+from bergamotshunt.http.bodies import Body
+from bergamotshunt.http.heads import (
+    BODYLESS,
+    LAST_CHUNK,
+    AnswerHead,
+    Header,
+    write_chunk,
+)
+from bergamotshunt.http.sockets import (
+    UNACKNOWLEDGED_MS,
+    has_failed,
+    tune_socket,
+)
+
+CONNECT_TIMEOUT_S: Final = 0.5
+# A server may close an idle connection earlier than it says.
+IDLE_SHARE: Final = 0.5
+DEFAULT_IDLE_S: Final = 4.0
+SWITCHING_PROTOCOLS: Final = 101
+FIRST_FINAL_STATUS: Final = 200
+
+
+class NotSentError(ConnectionError):
+    """No byte of the request reached the server."""
+
+
+class AnswerLostError(ConnectionError):
+    """The connection ended, or made no sense, before the answer."""
+
+
+IsExpected = Callable[[AnswerHead], bool]
+
+
+class Answer(NamedTuple):
+    """Head of an answer and its body, which may still arrive."""
+
+    head: AnswerHead
+    body: Body
+
+
+class ClientConnection(Protocol):
+    """A connection to a server, for one request at a time.
+
+    Attributes:
+        used: Requests that were sent on it.
+        idle_since_s: Time of the loop at which it was put back.
+        idle_limit_s: How long it may be kept without a request.
+    """
+
+    def __init__(self) -> None:
+        """Create a connection that is not made yet."""
+        self.used = 0
+        self.idle_since_s: float = 0
+        self.idle_limit_s = DEFAULT_IDLE_S
+        self._transport: Transport | None = None
+        self._parser = HttpResponseParser(self)
+        self._can_write = Event()
+        self._can_write.set()
+        self._is_expected: IsExpected | None = None
+        self._waiting: Future[Answer] | None = None
+        self._body: Body | None = None
+        self._headers: list[Header] = []
+        self._in_head = False
+        self._skipping = False
+        self._until_close = False
+        self._is_head_request = False
+        self._sent_whole = True
+        self._dirty = False
+        self._keep_alive = True
+
+    # Transport callbacks
+
+    def connection_made(self, transport: Any) -> None:
+        """Set the options of the socket."""
+        self._transport = transport
+        tune_socket(transport, UNACKNOWLEDGED_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived; bytes that nobody asked for end it."""
+        if self._waiting is None and self._body is None:
+            self._spoil('bytes without a request')
+            return
+        if self._until_close and self._body is not None:
+            self._body.feed(data)
+            return
+        try:
+            self._parser.feed_data(data)
+        except HttpParserError as error:
+            self._spoil(f'no HTTP answer: {error}')
+
+    def eof_received(self) -> bool:
+        """End an answer that has no length with its connection."""
+        if self._until_close and self._body is not None:
+            if self._transport is not None and has_failed(self._transport):
+                self._spoil('the connection was reset')
+                return False
+            self._body.finish()
+            self._body = None
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the request in hand."""
+        self._transport = None
+        self._can_write.set()
+        self._end(f'the connection ended: {exc or "closed"}')
+
+    def pause_writing(self) -> None:
+        """Hold back the request: the server does not read."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Go on with the request."""
+        self._can_write.set()
+
+    # Parser callbacks
+
+    def on_message_begin(self) -> None:
+        """Note the begin of an answer."""
+        if self._waiting is None:
+            self._dirty = True
+            return
+        self._headers = []
+        self._in_head = True
+
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Collect a header; trailers are dropped."""
+        if self._in_head:
+            self._headers.append((name, content))
+
+    def on_headers_complete(self) -> None:
+        """Give the head to the request that waits for it."""
+        self._in_head = False
+        if self._waiting is None:
+            return
+        status = self._parser.get_status_code()
+        if status < FIRST_FINAL_STATUS:
+            self._skipping = True
+            self._dirty = self._dirty or status == SWITCHING_PROTOCOLS
+            return
+        head = self._read_head(status)
+        if self._is_expected is not None and not self._is_expected(head):
+            # The answer of an earlier request; the next one may be ours.
+            self._skipping = True
+            self._dirty = True
+            return
+        self._skipping = False
+        self._keep_alive = self._parser.should_keep_alive()
+        self._note_idle_limit(head)
+        body = Body(self._set_reading)
+        self._body = body
+        self._until_close = head.length is None and not self._has_chunks(head)
+        waiting = self._waiting
+        self._waiting = None
+        if not waiting.done():
+            waiting.set_result(Answer(head, body))
+        if self._is_bodyless(status):
+            body.finish()
+            self._body = None
+            self._until_close = False
+
+    def on_body(self, body: bytes) -> None:
+        """Hand on bytes of the body."""
+        if not self._skipping and self._body is not None:
+            self._body.feed(body)
+
+    def on_message_complete(self) -> None:
+        """End the body."""
+        if self._skipping:
+            self._skipping = False
+            return
+        if self._body is not None:
+            self._body.finish()
+            self._body = None
+
+    # For the pool and its users
+
+    @property
+    def connected(self) -> bool:
+        """Whether the connection stands."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    @property
+    def answered(self) -> bool:
+        """Whether the head of the answer is there, or will never be."""
+        return self._waiting is None
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent on it."""
+        ended = self._waiting is None and self._body is None
+        clean = self._sent_whole and not self._dirty
+        return self.connected and self._keep_alive and ended and clean
+
+    def begin(
+        self,
+        head: bytes,
+        is_expected: IsExpected | None = None,
+        *,
+        whole: bool,
+        bodyless: bool = False,
+    ) -> 'Future[Answer]':
+        """Write a request.
+
+        Args:
+            head: Head, with the body behind it if ``whole``.
+            is_expected: Tells the answer of this request from a late one.
+            whole: Whether these are all bytes of the request.
+            bodyless: Whether the answer has no body, as for HEAD.
+
+        Returns:
+            The answer, once its head is there, or ``AnswerLostError``.
+
+        Raises:
+            NotSentError: The connection has ended already.
+        """
+        if self._transport is None or self._transport.is_closing():
+            raise NotSentError('the connection has ended')
+        self.used += 1
+        self._is_expected = is_expected
+        self._sent_whole = whole
+        self._is_head_request = bodyless
+        self._until_close = False
+        self._waiting = get_running_loop().create_future()
+        self._transport.write(head)
+        return self._waiting
+
+    async def write(self, piece: bytes, *, chunked: bool) -> None:
+        """Write bytes of the request's body; none ends it."""
+        await self._can_write.wait()
+        if self._transport is None:
+            return
+        if not piece:
+            self._sent_whole = True
+            if chunked:
+                self._transport.write(LAST_CHUNK)
+            return
+        self._transport.write(write_chunk(piece) if chunked else piece)
+
+    def close(self) -> None:
+        """Close the connection; a request in hand is cancelled."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Own work
+
+    def _read_head(self, status: int) -> AnswerHead:
+        by_name = {name.lower(): content for name, content in self._headers}
+        length: int | None = None
+        if self._is_bodyless(status):
+            length = 0
+        elif b'content-length' in by_name:
+            length = int(by_name[b'content-length'])
+        return AnswerHead(status, tuple(self._headers), by_name, length)
+
+    def _has_chunks(self, head: AnswerHead) -> bool:
+        coding = head.by_name.get(b'transfer-encoding', b'')
+        return coding.lower().endswith(b'chunked')
+
+    def _is_bodyless(self, status: int) -> bool:
+        return self._is_head_request or status in BODYLESS
+
+    def _note_idle_limit(self, head: AnswerHead) -> None:
+        stated = head.by_name.get(b'keep-alive', b'')
+        _, separator, seconds = stated.partition(b'timeout=')
+        digits = seconds.split(b',')[0].strip()
+        if separator and digits.isdigit():
+            self.idle_limit_s = int(digits) * IDLE_SHARE
+
+    def _set_reading(self, reading: bool) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if reading:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+
+    def _spoil(self, reason: str) -> None:
+        self._dirty = True
+        self._end(reason)
+        self.close()
+
+    def _end(self, reason: str) -> None:
+        waiting = self._waiting
+        self._waiting = None
+        if waiting is not None and not waiting.done():
+            waiting.set_exception(AnswerLostError(reason))
+        body = self._body
+        self._body = None
+        if body is not None:
+            body.cut_off(reason)
+
+
+class ConnectResult(NamedTuple):
+    """A connection, and whether it was kept from an earlier request."""
+
+    connection: ClientConnection
+    kept: bool
+
+
+class ClientPool:
+    """Kept connections to one server.
+
+    Args:
+        ip: Address of the server.
+        port: Port of the server.
+        connect_timeout_s: Longest time to connect.
+    """
+
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> None:
+        """Create a pool without connections."""
+        self.ip = ip
+        self.port = port
+        self.connect_timeout_s = connect_timeout_s
+        self._idle: list[ClientConnection] = []
+
+    async def connect(self, *, fresh: bool = False) -> ConnectResult:
+        """Return a kept connection, or make one.
+
+        Args:
+            fresh: Whether a kept connection is not good enough.
+
+        Raises:
+            NotSentError: No connection could be made in time.
+        """
+        while self._idle and not fresh:
+            connection = self._idle.pop()
+            if self._is_usable(connection):
+                return ConnectResult(connection, kept=True)
+            connection.close()
+        return ConnectResult(await self._make(), kept=False)
+
+    def put_back(self, connection: ClientConnection) -> None:
+        """Keep a connection for the next request, or close it."""
+        if not connection.reusable:
+            connection.close()
+            return
+        connection.idle_since_s = get_running_loop().time()
+        self._idle.append(connection)
+        while self._idle and not self._is_usable(self._idle[0]):
+            self._idle.pop(0).close()
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _is_usable(self, connection: ClientConnection) -> bool:
+        now_s = get_running_loop().time()
+        age_s = now_s - connection.idle_since_s
+        return connection.reusable and age_s < connection.idle_limit_s
+
+    async def _make(self) -> ClientConnection:
+        try:
+            async with timeout(self.connect_timeout_s):
+                _, connection = await get_running_loop().create_connection(
+                    ClientConnection,
+                    self.ip,
+                    self.port,
+                )
+        except (OSError, TimeoutError) as error:
+            raise NotSentError(f'no connection: {error!r}') from error
+        return connection
--- /dev/null
+++ b/bergamotshunt/http/heads.py
@@ -0,0 +1,115 @@
+"""Heads of requests and answers, and how they are written."""
+
+from http import HTTPStatus
+from typing import Final, NamedTuple
+
+Header = tuple[bytes, bytes]
+Headers = tuple[Header, ...]
+
+# Headers that concern one connection and are never forwarded.
+CONNECTION_HEADERS: Final = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'expect',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    ),
+)
+PHRASES: Final = {status.value: status.phrase for status in HTTPStatus}
+BODYLESS: Final = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+LAST_CHUNK: Final = b'0\r\n\r\n'
+
+
+class RequestHead(NamedTuple):
+    """Head of a request.
+
+    Attributes:
+        method: Method in capitals.
+        target: Path and query as they were sent.
+        headers: Names as they were sent, with their values.
+        by_name: Values by lower-case name; the last one of a name.
+        length: Length of the body; None when it comes in chunks.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    by_name: dict[bytes, bytes]
+    length: int | None = 0
+
+
+class AnswerHead(NamedTuple):
+    """Head of an answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: Names as they were sent, with their values.
+        by_name: Values by lower-case name.
+        length: Length of the body; None when it is not stated.
+    """
+
+    status: int
+    headers: Headers
+    by_name: dict[bytes, bytes]
+    length: int | None = 0
+
+
+def forwarded(head: RequestHead | AnswerHead) -> list[Header]:
+    """Return the headers that concern more than one connection."""
+    dropped = CONNECTION_HEADERS
+    named = head.by_name.get(b'connection')
+    if named and named.lower() not in {b'close', b'keep-alive'}:
+        dropped = dropped | {word.strip().lower() for word in named.split(b',')}
+    return [
+        header for header in head.headers if header[0].lower() not in dropped
+    ]
+
+
+def write_request(
+    method: bytes,
+    target: bytes,
+    headers: list[Header],
+    length: int | None,
+) -> bytes:
+    """Write the head of a request."""
+    lines = [b'%b %b HTTP/1.1' % (method, target)]
+    lines += [b'%b: %b' % header for header in headers]
+    if length is None:
+        lines.append(b'Transfer-Encoding: chunked')
+    elif length or method not in {b'GET', b'HEAD', b'DELETE'}:
+        lines.append(b'Content-Length: %d' % length)
+    lines.append(b'\r\n')
+    return b'\r\n'.join(lines)
+
+
+def write_answer(
+    status: int,
+    headers: list[Header],
+    length: int | None,
+    *,
+    closing: bool,
+) -> bytes:
+    """Write the head of an answer; without a length it is chunked."""
+    phrase = PHRASES.get(status, 'Unknown')
+    lines = [b'HTTP/1.1 %d %b' % (status, phrase.encode())]
+    lines += [b'%b: %b' % header for header in headers]
+    if length is None:
+        lines.append(b'Transfer-Encoding: chunked')
+    elif status not in BODYLESS:
+        lines.append(b'Content-Length: %d' % length)
+    if closing:
+        lines.append(b'Connection: close')
+    lines.append(b'\r\n')
+    return b'\r\n'.join(lines)
+
+
+def write_chunk(chunk: bytes) -> bytes:
+    """Write one chunk of a body without a stated length."""
+    return b'%x\r\n%b\r\n' % (len(chunk), chunk)
--- /dev/null
+++ b/bergamotshunt/http/serving.py
@@ -0,0 +1,483 @@
+"""Connections of clients: pipelined requests, answers in their order."""
+
+from asyncio import (
+    CancelledError,
+    Event,
+    Protocol,
+    Server,
+    TimerHandle,
+    Transport,
+    get_running_loop,
+)
+from asyncio import Task as AsyncioTask
+from collections import deque
+from collections.abc import Callable, Coroutine
+from http import HTTPStatus
+from typing import Any, Final, NamedTuple
+
+from httptools import (
+    HttpParserError,
+    HttpParserInvalidMethodError,
+    HttpRequestParser,
+)
+
+from bergamotshunt.http.bodies import Body
+from bergamotshunt.http.heads import (
+    LAST_CHUNK,
+    Header,
+    RequestHead,
+    write_answer,
+    write_chunk,
+)
+from bergamotshunt.http.sockets import tune_socket
+from bergamotshunt.log import log_error
+
+MS_PER_S: Final = 1000
+MAX_PIPELINED: Final = 64
+BACKLOG: Final = 1024
+CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class ServingLimits(NamedTuple):
+    """What a client may send, and how long it may take."""
+
+    head_bytes: int = 16_384
+    body_bytes: int = 67_108_864
+    head_timeout_ms: int = 3000
+    idle_timeout_ms: int = 15_000
+
+
+DEFAULT_LIMITS: Final = ServingLimits()
+
+
+class Exchange:
+    """One request and its answer on a client's connection.
+
+    Attributes:
+        head: Head of the request.
+        body: Body of the request.
+        arrived_s: Time of the loop at which the head was complete.
+        started: Whether the head of the answer was written.
+    """
+
+    def __init__(self, connection: 'ServerConnection') -> None:
+        """Create an exchange whose request is arriving."""
+        self.connection = connection
+        self.head = RequestHead(b'', b'', (), {})
+        self.body = Body(connection.set_reading)
+        self.arrived_s: float = 0
+        self.started = False
+        self.finished = False
+        self.closing = False
+        self.task: AsyncioTask[None] | None = None
+        self._chunked = False
+        self._bodyless = False
+        self._held: list[bytes] = []
+
+    def start(
+        self,
+        status: int,
+        headers: list[Header],
+        length: int | None,
+    ) -> None:
+        """Write the head of the answer."""
+        self.started = True
+        self._chunked = length is None
+        self._bodyless = self.head.method == b'HEAD'
+        closing = self.closing or self.connection.is_closing_after(self)
+        self.closing = closing
+        self._put(write_answer(status, headers, length, closing=closing))
+
+    def write(self, piece: bytes) -> None:
+        """Write bytes of the answer's body."""
+        if piece and not self._bodyless:
+            self._put(write_chunk(piece) if self._chunked else piece)
+
+    def finish(self) -> None:
+        """End the answer."""
+        if self._chunked and not self._bodyless:
+            self._put(LAST_CHUNK)
+        self.finished = True
+        self.connection.flush()
+
+    def answer(
+        self,
+        status: int,
+        headers: list[Header],
+        content: bytes = b'',
+    ) -> None:
+        """Write a whole answer."""
+        self.start(status, headers, len(content))
+        self.write(content)
+        self.finish()
+
+    def abort(self) -> None:
+        """End the connection; the answer must not look complete."""
+        self.connection.abort()
+
+    async def drain(self) -> None:
+        """Wait until the client has taken most of what was written."""
+        await self.connection.drain(self)
+
+    def take_held(self) -> list[bytes]:
+        """Return what was written while earlier answers were due."""
+        held = self._held
+        self._held = []
+        return held
+
+    def _put(self, piece: bytes) -> None:
+        if self.connection.is_first(self):
+            self.connection.transmit(piece)
+        else:
+            self._held.append(piece)
+
+
+Handler = Callable[[Exchange], Coroutine[Any, Any, None]]
+
+
+class ServerConnection(Protocol):
+    """A client's connection; each request runs in a task of its own."""
+
+    def __init__(self, listener: 'Listener') -> None:
+        """Create a connection that is not made yet."""
+        self._listener = listener
+        self._transport: Transport | None = None
+        self._parser = HttpRequestParser(self)
+        self._exchanges: deque[Exchange] = deque()
+        self._arriving: Exchange | None = None
+        self._headers: list[Header] = []
+        self._target = b''
+        self._head_bytes = 0
+        self._head_since_s: float = 0
+        self._idle_since_s: float = 0
+        self._timer: TimerHandle | None = None
+        self._can_write = Event()
+        self._can_write.set()
+        self._advanced = Event()
+        self._paused_by: int = 0
+        self._refusing = False
+
+    # Transport callbacks
+
+    def connection_made(self, transport: Any) -> None:
+        """Start to watch the connection."""
+        self._transport = transport
+        tune_socket(transport)
+        self._idle_since_s = self._listener.now()
+        self._listener.connections.add(self)
+        self._watch()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived."""
+        if self._refusing:
+            return
+        if self._arriving is None or not self._arriving.head.method:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except HttpParserInvalidMethodError:
+            self._refuse(HTTPStatus.BAD_REQUEST)
+        except HttpParserError:
+            self._refuse(HTTPStatus.BAD_REQUEST)
+        if self._head_bytes > self._listener.limits.head_bytes:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def eof_received(self) -> bool:
+        """End the connection: the client has left."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the work of all requests on this connection."""
+        self._listener.connections.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._can_write.set()
+        self._advanced.set()
+        for exchange in self._exchanges:
+            exchange.body.cut_off('the client closed its connection')
+            if exchange.task is not None:
+                exchange.task.cancel()
+        self._exchanges.clear()
+        self._transport = None
+
+    def pause_writing(self) -> None:
+        """Hold back answers: the client does not read."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Go on with answers."""
+        self._can_write.set()
+
+    # Parser callbacks
+
+    def on_message_begin(self) -> None:
+        """Note the begin of a request."""
+        self._headers = []
+        self._target = b''
+        self._head_since_s = self._listener.now()
+        self._arriving = Exchange(self)
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Collect a header; trailers are dropped."""
+        if self._arriving is not None and not self._arriving.head.method:
+            self._headers.append((name, content))
+
+    def on_headers_complete(self) -> None:
+        """Start the work on a request."""
+        exchange = self._arriving
+        if exchange is None:
+            return
+        self._head_bytes = 0
+        exchange.head = self._read_head()
+        exchange.arrived_s = self._listener.now()
+        if not self._parser.should_keep_alive():
+            exchange.closing = True
+        self._exchanges.append(exchange)
+        if exchange.head.by_name.get(b'expect', b'').lower() == b'100-continue':
+            if self.is_first(exchange):
+                self.transmit(CONTINUE)
+        if len(self._exchanges) > MAX_PIPELINED:
+            self.set_reading(False)
+        length = exchange.head.length
+        if length is not None and length > self._listener.limits.body_bytes:
+            self._refuse_exchange(exchange, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            return
+        exchange.task = self._listener.begin(exchange)
+
+    def on_body(self, body: bytes) -> None:
+        """Hand on bytes of a body."""
+        exchange = self._arriving
+        if exchange is None:
+            return
+        exchange.body.feed(body)
+        if exchange.body.received > self._listener.limits.body_bytes:
+            self._refuse_exchange(exchange, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        """Note the end of a request."""
+        exchange = self._arriving
+        self._arriving = None
+        self._head_bytes = 0
+        if exchange is not None:
+            exchange.body.finish()
+        self.flush()
+
+    # For exchanges
+
+    def is_first(self, exchange: Exchange) -> bool:
+        """Tell whether the answer is the next one due."""
+        return bool(self._exchanges) and self._exchanges[0] is exchange
+
+    def is_closing_after(self, exchange: Exchange) -> bool:
+        """Tell whether the connection ends with this answer."""
+        return self._refusing or (
+            self._listener.closing and self._exchanges[-1] is exchange
+        )
+
+    def transmit(self, piece: bytes) -> None:
+        """Write bytes to the client."""
+        if self._transport is not None:
+            self._transport.write(piece)
+
+    def flush(self) -> None:
+        """End finished answers and write what the next one holds."""
+        while self._exchanges:
+            if not self._end_first(self._exchanges[0]):
+                return
+        self._idle_since_s = self._listener.now()
+        if self._listener.closing and self._listener.closing_idle:
+            self._close()
+
+    async def drain(self, exchange: Exchange) -> None:
+        """Wait until the exchange may write more."""
+        while self._transport and not self.is_first(exchange):
+            await self._advanced.wait()
+        await self._can_write.wait()
+
+    def set_reading(self, reading: bool) -> None:
+        """Pause or resume reading; each pause needs its resume."""
+        self._paused_by += -1 if reading else 1
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._paused_by > 0:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is on it."""
+        if not self._exchanges and self._arriving is None:
+            self._close()
+
+    # Own work
+
+    def _end_first(self, first: Exchange) -> bool:
+        """Write what the first answer holds and end it if it is whole.
+
+        Returns:
+            Whether the next answer is due now.
+        """
+        for piece in first.take_held():
+            self.transmit(piece)
+        if not first.finished:
+            return False
+        if not first.body.complete:
+            # The client still sends a body that was answered early.
+            first.body.discard()
+            if not first.closing:
+                return False
+        self._exchanges.popleft()
+        self._advanced.set()
+        self._advanced = Event()
+        if first.closing:
+            self._close()
+            return False
+        if len(self._exchanges) == MAX_PIPELINED:
+            self.set_reading(True)
+        return True
+
+    def _read_head(self) -> RequestHead:
+        by_name = {name.lower(): content for name, content in self._headers}
+        length: int | None = 0
+        if b'transfer-encoding' in by_name:
+            length = None
+        elif b'content-length' in by_name:
+            length = int(by_name[b'content-length'])
+        return RequestHead(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=tuple(self._headers),
+            by_name=by_name,
+            length=length,
+        )
+
+    def _refuse(self, status: HTTPStatus) -> None:
+        if self._refusing:
+            return
+        exchange = self._arriving or Exchange(self)
+        if exchange not in self._exchanges:
+            self._exchanges.append(exchange)
+        self._refuse_exchange(exchange, status)
+
+    def _refuse_exchange(self, exchange: Exchange, status: HTTPStatus) -> None:
+        self._refusing = True
+        exchange.closing = True
+        exchange.body.cut_off('the request was refused')
+        if exchange.task is not None:
+            exchange.task.cancel()
+        if exchange.started:
+            self.abort()
+        elif not exchange.finished:
+            exchange.answer(status, [])
+
+    def _close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+    def _watch(self) -> None:
+        limits = self._listener.limits
+        now_s = self._listener.now()
+        if self._arriving is not None and not self._arriving.head.method:
+            due_s = self._head_since_s + limits.head_timeout_ms / MS_PER_S
+            if now_s >= due_s:
+                self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+                return
+        elif self._exchanges or self._arriving is not None:
+            due_s = now_s + limits.head_timeout_ms / MS_PER_S
+        else:
+            due_s = self._idle_since_s + limits.idle_timeout_ms / MS_PER_S
+            if now_s >= due_s:
+                self._close()
+                return
+        wait_s = min(due_s - now_s, limits.head_timeout_ms / MS_PER_S)
+        self._timer = get_running_loop().call_later(wait_s, self._watch)
+
+
+class Listener:
+    """Accepts connections and runs a handler for each request.
+
+    Args:
+        handler: Answers one exchange.
+        limits: What clients may send; may be replaced at any time.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServingLimits = DEFAULT_LIMITS,
+    ) -> None:
+        """Create a listener without a socket."""
+        self.limits = limits
+        self.connections: set[ServerConnection] = set()
+        self.closing = False
+        self.closing_idle = False
+        self.running = 0
+        self._handler = handler
+        self._server: Server | None = None
+
+    async def open(self, ip: str, port: int) -> int:
+        """Listen.
+
+        Returns:
+            The port, for port 0.
+        """
+        self._server = await get_running_loop().create_server(
+            lambda: ServerConnection(self),
+            ip,
+            port,
+            backlog=BACKLOG,
+        )
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def now(self) -> float:
+        """Return the time of the loop in seconds."""
+        return get_running_loop().time()
+
+    def begin(self, exchange: Exchange) -> AsyncioTask[None]:
+        """Run the handler for a request."""
+        return get_running_loop().create_task(self._run(exchange))
+
+    def announce_close(self) -> None:
+        """End each connection with its next answer from now on."""
+        self.closing = True
+
+    def close_idle(self) -> None:
+        """Close connections without a request, now and later."""
+        self.closing = True
+        self.closing_idle = True
+        for connection in tuple(self.connections):
+            connection.close_if_idle()
+
+    async def close(self) -> None:
+        """Stop listening and end all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self.connections):
+            connection.abort()
+
+    async def _run(self, exchange: Exchange) -> None:
+        self.running += 1
+        try:
+            await self._handler(exchange)
+        except CancelledError:
+            raise
+        except Exception as error:
+            log_error('listener:handler-failed', error)
+            self._fail(exchange)
+        finally:
+            self.running -= 1
+
+    def _fail(self, exchange: Exchange) -> None:
+        if exchange.started:
+            exchange.abort()
+        else:
+            exchange.answer(HTTPStatus.BAD_GATEWAY, [])
--- a/bergamotshunt/kernel.py
+++ b/bergamotshunt/kernel.py
@@ -20,10 +20,12 @@
 from pkgutil import iter_modules
 from random import Random
 from time import monotonic
+from types import ModuleType
 from typing import Any, Final, NamedTuple, TypeVar
 
 from bergamotshunt import plugins as plugin_package
 from bergamotshunt.log import log_error, log_event
+from bergamotshunt.mesh_settings import MeshSettings
 from bergamotshunt.messages import PortBound
 from bergamotshunt.registries import Registry
 from bergamotshunt.settings import Settings
@@ -145,6 +147,7 @@
         rng: Random source of the daemon.
         process_id: Start of this process, ms since the epoch.
         clock: Monotonic time in seconds.
+        mesh: Settings of a daemon that runs on the users' platform.
     """
 
     settings: Settings
@@ -152,6 +155,7 @@
     rng: Random
     process_id: int
     clock: Callable[[], float] = monotonic
+    mesh: MeshSettings | None = None
 
 
 class Task:
@@ -249,12 +253,13 @@
 
 PluginFactory = Callable[[Context], Task]
 PLUGINS: Final[Registry[PluginFactory]] = Registry('plug-in')
+MESH_PLUGINS: Final[Registry[PluginFactory]] = Registry('mesh plug-in')
 
 
-def load_plugins() -> None:
-    """Import all modules of the plug-in package; each registers itself."""
-    for module in iter_modules(plugin_package.__path__):
-        import_module(f'{plugin_package.__name__}.{module.name}')
+def load_plugins(package: ModuleType = plugin_package) -> None:
+    """Import all modules of a plug-in package; each registers itself."""
+    for module in iter_modules(package.__path__):
+        import_module(f'{package.__name__}.{module.name}')
 
 
 class Kernel:
@@ -263,20 +268,24 @@
     Args:
         context: Shared by all tasks.
         names: Plug-ins to run; all registered ones by default.
+        package: Package whose modules register the plug-ins.
+        registry: Where they register themselves.
     """
 
     def __init__(
         self,
         context: Context,
         names: tuple[str, ...] | None = None,
+        package: ModuleType = plugin_package,
+        registry: Registry[PluginFactory] = PLUGINS,
     ) -> None:
         """Create the tasks without starting them."""
-        load_plugins()
+        load_plugins(package)
         self.context = context
         self.failed = Event()
         self.tasks_by_name = {
-            name: PLUGINS.get(name)(context)
-            for name in names or PLUGINS.names()
+            name: registry.get(name)(context)
+            for name in names or registry.names()
         }
         self.ports_by_kind: dict[str, int] = {}
         self._mailbox: Mailbox = Queue()
--- /dev/null
+++ b/bergamotshunt/mesh_daemon.py
@@ -0,0 +1,93 @@
+"""The daemon on the users' platform: a kernel with the mesh plug-ins."""
+
+from asyncio import FIRST_COMPLETED, Event, create_task, get_running_loop, wait
+from os import environ
+from pathlib import Path
+from random import Random
+from signal import SIGHUP, SIGINT, SIGTERM
+from sys import stderr, stdout
+from time import time
+from typing import Final
+
+from returns.result import Failure, Success
+
+from bergamotshunt.daemon import EXIT_FAILED, EXIT_OK, MS_PER_S, create_runner
+from bergamotshunt.kernel import MESH_PLUGINS, Context, Kernel, Post
+from bergamotshunt.log import configure_log, log_event
+from bergamotshunt.mesh_messages import StopAnnounced
+from bergamotshunt.mesh_settings import MeshSettings
+from bergamotshunt.platform.boot import FILE_VARIABLE, decode_settings
+from bergamotshunt.plugins import mesh as mesh_package
+from bergamotshunt.settings import DaemonSettings, Settings
+
+EXIT_BAD_INPUT: Final = 2
+# Work that still runs this long before SIGKILL is given up.
+STOP_MARGIN_S: Final = 0.6
+
+
+def run_mesh_daemon() -> int:
+    """Run the daemon with the platform's settings file until SIGTERM.
+
+    Returns:
+        The exit code.
+    """
+    path = environ.get(FILE_VARIABLE, '')
+    if not path:
+        stderr.write(f'{FILE_VARIABLE} is not set: it names a file\n')
+        return EXIT_BAD_INPUT
+    match decode_settings(Path(path).read_text(encoding='utf-8')):
+        case Success(settings):
+            configure_log('info', stdout)
+            with create_runner() as runner:
+                return runner.run(_run_until_signal(settings))
+        case Failure(errors):
+            for error in errors:
+                stderr.write(f'{path}: {error}\n')
+    return EXIT_BAD_INPUT
+
+
+def create_mesh_kernel(
+    mesh: MeshSettings,
+    seed: int | None = None,
+) -> Kernel:
+    """Create the kernel of a daemon; a running event loop is needed."""
+    identity = DaemonSettings(
+        id=mesh.daemon_id,
+        ip=mesh.ip,
+        availability_zone=mesh.zone,
+    )
+    return Kernel(
+        Context(
+            settings=Settings(daemon=identity),
+            post=Post(),
+            rng=Random(seed),
+            process_id=int(time() * MS_PER_S),
+            mesh=mesh,
+        ),
+        package=mesh_package,
+        registry=MESH_PLUGINS,
+    )
+
+
+async def _run_until_signal(mesh: MeshSettings) -> int:
+    stopping = Event()
+    loop = get_running_loop()
+    for number in (SIGTERM, SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    # Addresses and bounds hold for the lifetime of the process.
+    loop.add_signal_handler(SIGHUP, log_event, 'daemon:reload-asked')
+    kernel = create_mesh_kernel(mesh)
+    await kernel.start()
+    await wait(
+        (create_task(stopping.wait()), create_task(kernel.failed.wait())),
+        return_when=FIRST_COMPLETED,
+    )
+    if kernel.failed.is_set():
+        await kernel.stop()
+        return EXIT_FAILED
+    log_event('daemon:stop-asked', daemon=mesh.daemon_id)
+    kernel.context.post.publish(StopAnnounced())
+    drained = await kernel.drain(mesh.bounds.grace_s - STOP_MARGIN_S)
+    log_event('daemon:drained', complete=drained)
+    await kernel.stop()
+    return EXIT_OK
--- /dev/null
+++ b/bergamotshunt/mesh_messages.py
@@ -0,0 +1,84 @@
+"""Messages between the tasks of a daemon in a mesh."""
+
+from typing import NamedTuple
+
+from bergamotshunt.loads import Load, LoadReport
+from bergamotshunt.routing import Routing, ServerEntry
+
+
+class RoutingChanged(NamedTuple):
+    """A newer configuration is in force here."""
+
+    routing: Routing
+
+
+class ServersChanged(NamedTuple):
+    """The backend servers that this daemon knows.
+
+    Attributes:
+        servers_by_instance: All of them; nobody changes this mapping.
+    """
+
+    servers_by_instance: dict[str, ServerEntry]
+
+
+class OwnServerChanged(NamedTuple):
+    """The backend server on this host announced itself.
+
+    Attributes:
+        entry: What it said.
+    """
+
+    entry: ServerEntry
+
+
+class OwnLoadChanged(NamedTuple):
+    """The load of the backend server on this host changed.
+
+    Attributes:
+        instance: Lifetime of the server.
+        load: Its load.
+        urgent: Whether peers should hear of it at once.
+    """
+
+    instance: str
+    load: Load
+    urgent: bool
+
+
+class LoadHeard(NamedTuple):
+    """A report of another daemon arrived."""
+
+    report: LoadReport
+
+
+class EntryHeard(NamedTuple):
+    """Another daemon told what its server announced.
+
+    Attributes:
+        entry: The announcement.
+    """
+
+    entry: ServerEntry
+
+
+class ServiceUsed(NamedTuple):
+    """Requests for a service begin on this host."""
+
+    service: str
+
+
+class VersionHeard(NamedTuple):
+    """Another daemon has a configuration of this version.
+
+    Attributes:
+        version: Version in force there.
+        ip: Host of that daemon.
+    """
+
+    version: int
+    ip: str
+
+
+class StopAnnounced(NamedTuple):
+    """The daemon was told to stop; peers should choose others."""
--- /dev/null
+++ b/bergamotshunt/peer_attempts.py
@@ -0,0 +1,170 @@
+"""One attempt of a request at the daemon beside a backend server."""
+
+from asyncio import get_running_loop
+from http import HTTPStatus
+from typing import Final, NamedTuple
+
+from bergamotshunt.http.bodies import BodyCutError
+from bergamotshunt.http.calling import (
+    Answer,
+    AnswerLostError,
+    ClientConnection,
+    NotSentError,
+)
+from bergamotshunt.http.heads import write_request
+from bergamotshunt.http.serving import Exchange
+from bergamotshunt.peer_calls import (
+    RESULT_HEADER,
+    PeerCall,
+    PeerResult,
+    decode_result,
+)
+from bergamotshunt.platform.requests import peer_headers
+from bergamotshunt.server_records import ServerRecord
+from bergamotshunt.verdicts import Verdict
+
+# Answers up to this size are whole before the client gets a byte.
+BUFFER_BYTES: Final = 65_536
+RESULT_NAME: Final = RESULT_HEADER.lower()
+
+
+class Outcome(NamedTuple):
+    """How an attempt ended.
+
+    Attributes:
+        verdict: Whether the request may have run.
+        reason: Why there is no answer of the server; empty if there is.
+        answer: Answer of the server; its body holds what is not gathered.
+        content: Bytes of the body that were gathered.
+        whole: Whether these are all bytes of the body.
+        result: What the other daemon said.
+        connection: Where the rest of the body comes from.
+    """
+
+    verdict: Verdict
+    reason: str = ''
+    answer: Answer | None = None
+    content: bytes = b''
+    whole: bool = True
+    result: PeerResult | None = None
+    connection: ClientConnection | None = None
+
+    @property
+    def failed(self) -> bool:
+        """Whether there is no answer, or one of a failing server."""
+        if self.answer is None:
+            return True
+        return self.answer.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+
+
+async def attempt(
+    record: ServerRecord,
+    exchange: Exchange,
+    call: PeerCall,
+    body: bytes | None,
+) -> Outcome:
+    """Hand a request to the daemon beside a server.
+
+    Args:
+        record: The server.
+        exchange: The client's request.
+        call: What the other daemon needs to know.
+        body: Body of the request; None when it is still arriving.
+    """
+    loop = get_running_loop()
+    record.note_sent(loop.time())
+    try:
+        connected = await record.pool.connect()
+        return await _exchange(
+            record,
+            connected.connection,
+            exchange,
+            call,
+            body,
+        )
+    except NotSentError as refused:
+        record.note_unreachable(loop.time())
+        return Outcome(Verdict.NOT_RUN, f'unreachable: {refused}')
+    except (AnswerLostError, BodyCutError) as lost:
+        record.note_result(loop.time(), failed=True)
+        return Outcome(Verdict.MAY_HAVE_RUN, f'answer-lost: {lost}')
+    finally:
+        record.note_end()
+
+
+async def _exchange(
+    record: ServerRecord,
+    connection: ClientConnection,
+    exchange: Exchange,
+    call: PeerCall,
+    body: bytes | None,
+) -> Outcome:
+    try:
+        answer = await _send(connection, exchange, call, body)
+        return await _read(record, connection, answer)
+    except BaseException:
+        connection.close()
+        raise
+
+
+async def _read(
+    record: ServerRecord,
+    connection: ClientConnection,
+    answer: Answer,
+) -> Outcome:
+    result = decode_result(answer.head.by_name.get(RESULT_NAME, b''))
+    if result is None:
+        raise AnswerLostError('the other daemon did not say what happened')
+    record.note_load(result.load, get_running_loop().time())
+    gathered = await answer.body.gather(BUFFER_BYTES)
+    whole = answer.body.ended
+    if whole:
+        record.pool.put_back(connection)
+    if result.verdict is not Verdict.RAN:
+        return Outcome(result.verdict, result.reason, result=result)
+    return Outcome(
+        Verdict.RAN,
+        answer=answer,
+        content=gathered,
+        whole=whole,
+        result=result,
+        connection=None if whole else connection,
+    )
+
+
+async def _send(
+    connection: ClientConnection,
+    exchange: Exchange,
+    call: PeerCall,
+    body: bytes | None,
+) -> Answer:
+    head = exchange.head
+    length = head.length if body is None else len(body)
+    content = write_request(
+        head.method,
+        head.target,
+        peer_headers(head, call),
+        length,
+    )
+    waiting = connection.begin(
+        content + (body or b''),
+        whole=body is not None,
+        bodyless=head.method == b'HEAD',
+    )
+    if body is None:
+        await _send_body(connection, exchange, chunked=length is None)
+    return await waiting
+
+
+async def _send_body(
+    connection: ClientConnection,
+    exchange: Exchange,
+    *,
+    chunked: bool,
+) -> None:
+    """Send a long body until it ends or the answer is there."""
+    while not connection.answered:
+        piece = await exchange.body.read()
+        await connection.write(piece, chunked=chunked)
+        if not piece:
+            return
--- /dev/null
+++ b/bergamotshunt/peer_calls.py
@@ -0,0 +1,81 @@
+"""Headers of requests and answers between daemons."""
+
+from typing import Final, NamedTuple
+
+from msgspec import MsgspecError
+from msgspec.json import decode, encode
+
+from bergamotshunt.loads import Load
+from bergamotshunt.verdicts import Verdict
+
+CALL_HEADER: Final = b'Bergamotshunt-Call'
+RESULT_HEADER: Final = b'Bergamotshunt-Result'
+CONFIGURATION_PATH: Final = b'/bergamotshunt/configuration'
+
+
+class PeerCall(NamedTuple):
+    """What a daemon says of a request that it hands to another.
+
+    Attributes:
+        request_id: Identity of the client's attempt.
+        instance: Lifetime of the server that is to run it.
+        caller: Service of the host where the request began.
+        left_ms: Time until the final answer is due.
+        goal_ms: Time until an answer is worth less.
+        rank: Urgency; 0 is the highest.
+        idempotent: Whether it may run more than once.
+        repeated: Whether another server may have run it before.
+    """
+
+    request_id: str
+    instance: str
+    caller: str
+    left_ms: float
+    goal_ms: float
+    rank: int
+    idempotent: bool
+    repeated: bool = False
+
+
+class PeerResult(NamedTuple):
+    """What the daemon beside the server says of the answer.
+
+    Attributes:
+        verdict: Whether the request may have run.
+        load: Load of the server now.
+        reason: Why there is no answer of the server; empty if there is.
+        took_ms: Time at the server until the head of its answer.
+        again_ms: When a slot is expected to be free; 0 when unknown.
+    """
+
+    verdict: Verdict
+    load: Load
+    reason: str = ''
+    took_ms: float = 0
+    again_ms: float = 0
+
+
+def encode_call(call: PeerCall) -> bytes:
+    """Encode a call for its header."""
+    return encode(call)
+
+
+def decode_call(content: bytes) -> PeerCall | None:
+    """Decode a call; None when it is damaged."""
+    try:
+        return decode(content, type=PeerCall)
+    except MsgspecError:
+        return None
+
+
+def encode_result(result: PeerResult) -> bytes:
+    """Encode a result for its header."""
+    return encode(result)
+
+
+def decode_result(content: bytes) -> PeerResult | None:
+    """Decode a result; None when it is damaged."""
+    try:
+        return decode(content, type=PeerResult)
+    except MsgspecError:
+        return None
--- /dev/null
+++ b/bergamotshunt/platform/boot.py
@@ -0,0 +1,129 @@
+"""The platform's settings file, decoded into settings of the daemon."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from bergamotshunt.mesh_settings import Address, Bounds, MeshSettings
+
+FILE_VARIABLE: Final = 'BERGAMOTSHUNT_BOOT'
+METRICS_OFFSET: Final = 1
+
+
+def read_lines(text: str) -> dict[str, str]:
+    """Return the values of a settings file by their name."""
+    texts_by_name = {}
+    for line in text.splitlines():
+        name, separator, setting = line.partition('=')
+        if separator:
+            texts_by_name[name.strip()] = setting.strip()
+    return texts_by_name
+
+
+class SettingsReader:
+    """Reads values one by one and collects what is wrong with them.
+
+    Attributes:
+        errors: One sentence for each missing or bad value.
+    """
+
+    def __init__(self, texts_by_name: Mapping[str, str]) -> None:
+        """Create a reader of a settings file's values."""
+        self.errors: list[str] = []
+        self.texts_by_name = texts_by_name
+
+    def word(self, name: str) -> str:
+        """Return a text that may not be empty."""
+        text = self.texts_by_name.get(name, '')
+        if not text:
+            self.errors.append(f'{name} is missing: expected a text')
+        return text
+
+    def address(self, name: str) -> Address:
+        """Return an IP address with a port."""
+        text = self.texts_by_name.get(name, '')
+        ip, _, port = text.rpartition(':')
+        if ip and port.isdecimal():
+            return Address(ip, int(port))
+        self.errors.append(
+            f'{name} = {text!r}: expected an IP address and a port',
+        )
+        return Address('', 0)
+
+    def first_port(self, name: str) -> int:
+        """Return the first port of a range."""
+        text = self.word(name).partition(',')[0]
+        if text.isdecimal():
+            return int(text)
+        self.errors.append(f'{name} = {text!r}: expected two port numbers')
+        return 0
+
+
+def decode_settings(text: str) -> Result[MeshSettings, tuple[str, ...]]:
+    """Decode the settings file.
+
+    Returns:
+        The settings, or one sentence for each missing or bad value.
+    """
+    texts_by_name = read_lines(text)
+    reader = SettingsReader(texts_by_name)
+    ip = reader.word('ip')
+    # Daemons talk to each other on the ports of this range.
+    first_port = reader.first_port('port_range')
+    settings = MeshSettings(
+        daemon_id=reader.word('node_name'),
+        ip=ip,
+        zone=reader.word('zone'),
+        service=reader.word('service'),
+        server=reader.address('app_addr'),
+        outbound=reader.address('listen.outbound'),
+        inbound=reader.address('listen.inbound'),
+        control=reader.address('listen.control'),
+        ready=reader.address('listen.ready'),
+        datagram_port=first_port,
+        metrics=Address(ip, first_port + METRICS_OFFSET),
+        store=reader.address('platform.address'),
+        min_lease_ms=int(_number(texts_by_name, 'platform.min_ttl_ms', 1000)),
+        bounds=_decode_bounds(texts_by_name.get('bounds', '')),
+    )
+    if reader.errors:
+        return Failure(tuple(reader.errors))
+    return Success(settings)
+
+
+def _decode_bounds(text: str) -> Bounds:
+    texts_by_name = dict(
+        part.strip().partition('=')[::2] for part in text.split(',')
+    )
+    default = Bounds()
+    return Bounds(
+        drain_ms=int(_number(texts_by_name, 'drain_ms', default.drain_ms)),
+        grace_s=_number(texts_by_name, 'grace_s', default.grace_s),
+        retry_ratio=_number(
+            texts_by_name,
+            'retry_budget_ratio',
+            default.retry_ratio,
+        ),
+        retry_slack=_number(
+            texts_by_name,
+            'budget_slack',
+            default.retry_slack,
+        ),
+        retry_window_s=_number(
+            texts_by_name,
+            'budget_window_s',
+            default.retry_window_s,
+        ),
+    )
+
+
+def _number(
+    texts_by_name: Mapping[str, str],
+    name: str,
+    default: float,
+) -> float:
+    try:
+        return float(texts_by_name[name])
+    except (KeyError, ValueError):
+        return default
--- /dev/null
+++ b/bergamotshunt/platform/configuration.py
@@ -0,0 +1,106 @@
+"""The operator's configuration, decoded into the project's routing."""
+
+from typing import Any, Final
+
+from msgspec import DecodeError
+from msgspec.json import decode
+
+from bergamotshunt.routing import (
+    ClientLimits,
+    Part,
+    RequestKind,
+    Route,
+    Routing,
+    ServiceRules,
+)
+
+KEY: Final = 'op/config'
+DEFAULT_TIMEOUT_MS: Final = 1000
+LOWEST_RANK: Final = 9
+UNREADABLE: Final = (DecodeError, KeyError, TypeError, ValueError)
+
+
+class ConfigurationError(ValueError):
+    """A configuration that cannot be read."""
+
+
+def decode_configuration(document: bytes) -> Routing:
+    """Decode one version of the configuration.
+
+    Raises:
+        ConfigurationError: The document is no configuration.
+    """
+    try:
+        return _decode(document)
+    except UNREADABLE as error:
+        raise ConfigurationError(str(error)) from error
+
+
+def _decode(document: bytes) -> Routing:
+    content = decode(document)
+    routes: dict[str, list[Route]] = {}
+    services_by_name = {}
+    limits = ClientLimits()
+    for entry in content['resources']:
+        # "metadata" holds only the name; "spec" is the entry itself.
+        name = entry['metadata'].get('name', '')
+        spec = entry['spec']
+        match entry['entry_kind']:
+            case 'routes':
+                route = _decode_route(name, spec)
+                routes.setdefault(route.host, []).append(route)
+            case 'services':
+                services_by_name[name] = ServiceRules(
+                    name=name,
+                    health_path=spec.get('health_path', '/'),
+                    connections=int(spec.get('max_conns', 0)),
+                )
+            case 'limits':
+                limits = _decode_limits(spec)
+    return Routing(
+        version=int(content['version']),
+        routes_by_host={
+            host: tuple(sorted(entries, key=_prefix_rank))
+            for host, entries in routes.items()
+        },
+        services_by_name=services_by_name,
+        limits=limits,
+        document=document,
+    )
+
+
+def _prefix_rank(route: Route) -> int:
+    return -len(route.prefix)
+
+
+def _decode_route(name: str, spec: dict[str, Any]) -> Route:
+    split = spec.get('traffic_split')
+    parts = tuple(
+        Part(part['service'], float(part['weight'])) for part in split or ()
+    ) or (Part(spec['service']),)
+    timeout_ms = float(spec.get('timeout_ms', DEFAULT_TIMEOUT_MS))
+    return Route(
+        name=name,
+        host=spec['host'].lower(),
+        prefix=spec['prefix'],
+        kind=RequestKind(spec['kind']),
+        timeout_ms=timeout_ms,
+        goal_ms=float(spec.get('latency_goal_ms', timeout_ms)),
+        rank=int(spec.get('priority', LOWEST_RANK)),
+        attempts=int(spec.get('attempts', 1)),
+        parts=parts,
+    )
+
+
+def _decode_limits(spec: dict[str, Any]) -> ClientLimits:
+    default = ClientLimits()
+    return ClientLimits(
+        head_bytes=int(spec.get('max_header_bytes', default.head_bytes)),
+        body_bytes=int(spec.get('max_body_bytes', default.body_bytes)),
+        head_timeout_ms=int(
+            spec.get('header_timeout_ms', default.head_timeout_ms),
+        ),
+        idle_timeout_ms=int(
+            spec.get('idle_timeout_ms', default.idle_timeout_ms),
+        ),
+    )
--- /dev/null
+++ b/bergamotshunt/platform/store.py
@@ -0,0 +1,288 @@
+"""Calls to the platform's key-value store."""
+
+from asyncio import timeout
+from base64 import b64decode, b64encode
+from http import HTTPStatus
+from typing import Any, Final, NamedTuple
+from urllib.parse import urlencode
+
+from msgspec import MsgspecError
+from msgspec.json import decode, encode
+
+from bergamotshunt.http.bodies import BodyCutError
+from bergamotshunt.http.calling import AnswerLostError, ClientPool, NotSentError
+from bergamotshunt.http.heads import Header, write_request
+from bergamotshunt.mesh_settings import Address
+
+MOST_ANSWER_BYTES: Final = 4_194_304
+CALL_TIMEOUT_S: Final = 1.0
+MS_PER_S: Final = 1000
+
+
+class StoreError(Exception):
+    """A call without a useful answer."""
+
+
+class StoreUnavailableError(StoreError):
+    """The store did nothing."""
+
+
+class OutcomeUnknownError(StoreError):
+    """The call may have been executed, or may be executed later."""
+
+
+class HistoryGoneError(StoreError):
+    """The changes since that revision are no longer available."""
+
+
+class LeaseEndedError(StoreError):
+    """There is no such lease."""
+
+
+ERRORS_BY_STATUS: Final[dict[int, type[StoreError]]] = {
+    HTTPStatus.GONE: HistoryGoneError,
+    HTTPStatus.NOT_FOUND: LeaseEndedError,
+}
+
+
+class ConflictError(StoreError):
+    """A condition of a change does not hold.
+
+    Attributes:
+        items: The items of the conditions as they are now.
+    """
+
+    def __init__(self, items: 'tuple[Item, ...]') -> None:
+        """Create the error with the current items."""
+        super().__init__('a condition does not hold')
+        self.items = items
+
+
+class Item(NamedTuple):
+    """A key and what is stored under it.
+
+    Attributes:
+        key: The key.
+        content: Stored bytes; None when the key was removed.
+        revision: Revision of its last change.
+        lease: Lease that it ends with; 0 for none.
+    """
+
+    key: str
+    content: bytes | None
+    revision: int
+    lease: int = 0
+
+
+class Listing(NamedTuple):
+    """Items and the revision of the store that they belong to."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+class Lease(NamedTuple):
+    """A lease and how long it runs without renewal."""
+
+    id: int
+    ttl_ms: int
+
+
+class Write(NamedTuple):
+    """A change of one key under a condition.
+
+    Attributes:
+        key: The key.
+        content: Bytes to store.
+        revision: Revision that the key must have; 0 for no such key.
+        lease: Lease that the key ends with.
+    """
+
+    key: str
+    content: bytes
+    revision: int
+    lease: int
+
+
+class StoreClient:
+    """Makes calls to the store, each on a connection of its own.
+
+    Args:
+        address: Address of the store.
+    """
+
+    def __init__(self, address: Address) -> None:
+        """Create a client without connections."""
+        self._pool = ClientPool(address.ip, address.port)
+        self._host = str(address).encode()
+        self.calls = 0
+
+    async def list_items(self, prefix: str) -> Listing:
+        """Return all items whose key begins with the prefix.
+
+        Raises:
+            StoreError: No useful answer.
+        """
+        items: list[Item] = []
+        after = ''
+        revision = 0
+        while True:
+            query = {'prefix': prefix}
+            if after:
+                query['after'] = after
+            page = await self._call('GET', f'/-/kv-range?{urlencode(query)}')
+            items += [_read_item(entry) for entry in page['items']]
+            # Changes during the listing are seen again by the watch.
+            revision = revision or int(page['as_of'])
+            if not page.get('more_pages') or not items:
+                return Listing(tuple(items), revision)
+            after = items[-1].key
+
+    async def watch(self, prefix: str, revision: int, wait_ms: int) -> Listing:
+        """Wait for changes after a revision.
+
+        Raises:
+            HistoryGoneError: List the items again.
+            StoreError: No useful answer.
+        """
+        query = urlencode(
+            {'prefix': prefix, 'after': revision, 'wait_ms': wait_ms},
+        )
+        answer = await self._call(
+            'GET',
+            f'/-/kv-watch?{query}',
+            timeout_s=wait_ms / MS_PER_S + CALL_TIMEOUT_S,
+        )
+        items = tuple(_read_item(event) for event in answer['events'])
+        return Listing(items, int(answer['as_of']))
+
+    async def grant_lease(self, ttl_ms: int) -> Lease:
+        """Create a lease.
+
+        Raises:
+            StoreError: No useful answer.
+        """
+        answer = await self._call('POST', '/-/kv-lease', {'ttl_ms': ttl_ms})
+        return Lease(int(answer['lease']), int(answer['ttl_ms']))
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renew a lease.
+
+        Raises:
+            LeaseEndedError: It has ended.
+            StoreError: No useful answer.
+        """
+        await self._call('POST', f'/-/kv-keep/{lease}')
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease and remove its keys.
+
+        Raises:
+            StoreError: No useful answer.
+        """
+        await self._call('DELETE', f'/-/kv-lease-end/{lease}')
+
+    async def write(self, change: Write) -> int:
+        """Store a key if its revision is the expected one.
+
+        Returns:
+            The new revision.
+
+        Raises:
+            ConflictError: The key has another revision.
+            LeaseEndedError: The lease has ended.
+            StoreError: No useful answer.
+        """
+        answer = await self._call(
+            'POST',
+            '/-/kv-txn',
+            {
+                'expect': [{'key': change.key, 'revision': change.revision}],
+                'writes': [
+                    {
+                        'key': change.key,
+                        'value': b64encode(change.content).decode(),
+                        'lease': change.lease,
+                    },
+                ],
+                'remove': [],
+            },
+        )
+        return int(answer['revision'])
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        self._pool.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        document: dict[str, Any] | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Any:
+        self.calls += 1
+        try:
+            async with timeout(timeout_s):
+                status, content = await self._send(method, path, document)
+        except NotSentError as error:
+            raise StoreUnavailableError(str(error)) from error
+        except (AnswerLostError, BodyCutError, TimeoutError) as error:
+            raise OutcomeUnknownError(repr(error)) from error
+        return _read_answer(status, content)
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        document: dict[str, Any] | None,
+    ) -> tuple[int, bytes]:
+        headers: list[Header] = [(b'Host', self._host)]
+        body = b''
+        if document is not None:
+            body = encode(document)
+            headers.append((b'Content-Type', b'application/json'))
+        head = write_request(
+            method.encode(),
+            path.encode(),
+            headers,
+            len(body),
+        )
+        connection, _kept = await self._pool.connect()
+        try:
+            answer = await connection.begin(head + body, whole=True)
+            content = await answer.body.gather(MOST_ANSWER_BYTES)
+        except BaseException:
+            connection.close()
+            raise
+        self._pool.put_back(connection)
+        return answer.head.status, content
+
+
+def _read_answer(status: int, content: bytes) -> Any:
+    if status == HTTPStatus.OK:
+        return _decode(content)
+    if status == HTTPStatus.PRECONDITION_FAILED:
+        entries = _decode(content)['items']
+        raise ConflictError(tuple(_read_item(entry) for entry in entries))
+    kind = ERRORS_BY_STATUS.get(status, StoreUnavailableError)
+    raise kind(f'status {status}')
+
+
+def _decode(content: bytes) -> Any:
+    try:
+        return decode(content) if content else {}
+    except MsgspecError as error:
+        raise OutcomeUnknownError(str(error)) from error
+
+
+def _read_item(entry: dict[str, Any]) -> Item:
+    # An event without "value" is the removal of its key.
+    stored = entry.get('value')
+    gone = entry.get('tombstone') or not isinstance(stored, str)
+    return Item(
+        key=entry['key'],
+        content=None if gone else b64decode(str(stored)),
+        revision=int(entry.get('revision', 0)),
+        lease=int(entry.get('lease') or 0),
+    )
--- /dev/null
+++ b/bergamotshunt/plugins/mesh/control.py
@@ -0,0 +1,115 @@
+"""Announcements of the backend server on this host."""
+
+from http import HTTPStatus
+from typing import Final
+
+from bergamotshunt.decisions.announcing import is_newer
+from bergamotshunt.http.bodies import BodyCutError
+from bergamotshunt.http.heads import Header
+from bergamotshunt.http.serving import Exchange, Listener
+from bergamotshunt.kernel import MESH_PLUGINS, Context
+from bergamotshunt.log import log_event
+from bergamotshunt.mesh_messages import OwnServerChanged
+from bergamotshunt.mesh_task import MeshTask
+from bergamotshunt.platform.announcements import (
+    ACKNOWLEDGED,
+    PATH,
+    AnnouncementError,
+    decode_announcement,
+)
+from bergamotshunt.routing import ServerEntry, ServerState
+
+MOST_BYTES: Final = 4096
+JSON: Final[Header] = (b'Content-Type', b'application/json')
+
+
+class ControlTask(MeshTask):
+    """Listens for announcements and acknowledges them."""
+
+    name = 'control'
+
+    def __init__(self, context: Context) -> None:
+        """Create the task without a socket."""
+        super().__init__(context)
+        self._listener = Listener(self._serve)
+        self._known: ServerEntry | None = None
+
+    async def open(self) -> None:
+        """Listen."""
+        await self._listener.open(self.mesh.control.ip, self.mesh.control.port)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._listener.close()
+        await super().close()
+
+    async def _serve(self, exchange: Exchange) -> None:
+        path = exchange.head.target.decode('latin-1').partition('?')[0]
+        instance = path.removeprefix(PATH)
+        if not path.startswith(PATH) or not instance:
+            exchange.answer(HTTPStatus.NOT_FOUND, [])
+            return
+        try:
+            body = await exchange.body.gather(MOST_BYTES)
+        except BodyCutError:
+            return
+        match exchange.head.method:
+            case b'PUT':
+                status = await self._note_announcement(instance, body)
+            case b'DELETE':
+                status = await self._note_end(instance)
+            case _:
+                status = HTTPStatus.METHOD_NOT_ALLOWED
+        exchange.answer(status, [JSON], ACKNOWLEDGED)
+
+    async def _note_announcement(
+        self,
+        instance: str,
+        body: bytes,
+    ) -> HTTPStatus:
+        try:
+            entry = decode_announcement(instance, body, self.mesh)
+        except AnnouncementError as error:
+            log_event(
+                'control:announcement-unreadable',
+                instance=instance,
+                detail=str(error),
+            )
+            return HTTPStatus.BAD_REQUEST
+        if is_newer(entry, self._known):
+            await self._accept(entry)
+        return HTTPStatus.OK
+
+    async def _note_end(self, instance: str) -> HTTPStatus:
+        known = self._known
+        if known is not None and known.instance == instance:
+            await self._accept(known._replace(state=ServerState.LEAVING))
+        return HTTPStatus.OK
+
+    async def _accept(self, entry: ServerEntry) -> None:
+        """Put an announcement in force here before it is acknowledged.
+
+        Only the daemon on this host reaches the server, so its own refusal
+        of new requests binds all other daemons.
+        """
+        known = self._known
+        self._known = entry
+        if known is None or (known.instance, known.state) != (
+            entry.instance,
+            entry.state,
+        ):
+            log_event(
+                'control:server-changed',
+                instance=entry.instance,
+                state=entry.state.value,
+                service=entry.service,
+                born_ms=entry.born_ms,
+                sequence=entry.sequence,
+            )
+        await self.post.ask_all(OwnServerChanged(entry))
+
+
+@MESH_PLUGINS.register('control')
+def create_control(context: Context) -> ControlTask:
+    """Create the task."""
+    return ControlTask(context)
--- /dev/null
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -0,0 +1,296 @@
+"""Membership: the own server's entry under a lease, and all others."""
+
+from asyncio import Event, sleep, wait_for
+from typing import Final
+
+from bergamotshunt.decisions.fleet import Fleet
+from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
+from bergamotshunt.log import log_event
+from bergamotshunt.mesh_messages import (
+    EntryHeard,
+    OwnServerChanged,
+    ServersChanged,
+    StopAnnounced,
+)
+from bergamotshunt.mesh_task import MeshTask
+from bergamotshunt.platform.announcements import (
+    ENTRY_PREFIX,
+    AnnouncementError,
+    decode_entry,
+    encode_entry,
+    entry_key,
+)
+from bergamotshunt.platform.store import (
+    ConflictError,
+    HistoryGoneError,
+    Item,
+    LeaseEndedError,
+    OutcomeUnknownError,
+    StoreClient,
+    StoreError,
+    Write,
+)
+from bergamotshunt.routing import ServerEntry
+
+LEASE_MS: Final = 5000
+RENEW_S: Final = 1.6
+# A renewal that is due this soon is made at once.
+DUE_SHARE: Final = 0.9
+RETRY_S: Final = 0.3
+WATCH_MS: Final = 20_000
+EXPIRE_EVERY_S: Final = 0.5
+
+
+class FleetTask(MeshTask):
+    """Owns the daemon's lease and its view of the fleet."""
+
+    name = 'fleet'
+    handlers = HandlerTable()
+
+    def __init__(self, context: Context) -> None:
+        """Create the task of a daemon that knows no server."""
+        super().__init__(context)
+        self._store = StoreClient(self.mesh.store)
+        self._fleet = Fleet()
+        self._published: dict[str, ServerEntry] = {}
+        self._own: ServerEntry | None = None
+        self._written: ServerEntry | None = None
+        self._lease = 0
+        self._renewed_s: float = 0
+        self._revision: int | None = 0
+        self._key = entry_key(self.mesh.ip)
+        self._changed = Event()
+        self._stopping = False
+        self._connected = True
+
+    async def start(self) -> None:
+        """Start to announce, to watch and to expire."""
+        self.spawn(self._keep_announced())
+        self.spawn(self._keep_watching())
+        self.spawn(self._keep_expiring())
+
+    async def close(self) -> None:
+        """Close the connections to the store."""
+        self._store.close()
+        await super().close()
+
+    @handlers.on(OwnServerChanged)
+    def note_own_server(self, message: OwnServerChanged) -> None:
+        """Write the entry of the own server again if it differs."""
+        entry = message.entry
+        self._own = entry
+        self._fleet.note_heard(entry, self.context.clock())
+        self._publish()
+        if _differs(entry, self._written):
+            self._changed.set()
+
+    @handlers.on(EntryHeard)
+    def note_heard(self, message: EntryHeard) -> None:
+        """Take over what another daemon told of its server."""
+        self._fleet.note_heard(message.entry, self.context.clock())
+        self._publish()
+
+    @handlers.on(StopAnnounced)
+    def note_stop(self, _message: StopAnnounced) -> None:
+        """End the lease: the server is out of reach soon."""
+        self._stopping = True
+        self._changed.set()
+
+    # The own entry
+
+    async def _keep_announced(self) -> None:
+        while True:
+            wait_s = RENEW_S
+            try:
+                await self._announce()
+            except StoreError as error:
+                self._note_store(error)
+                wait_s = RETRY_S * self.context.rng.uniform(0.7, 1.3)
+            else:
+                self._note_store(None)
+            try:
+                await wait_for(self._changed.wait(), wait_s)
+            except TimeoutError:
+                continue
+            self._changed.clear()
+
+    async def _announce(self) -> None:
+        if self._stopping:
+            await self._end_lease()
+            return
+        entry = self._own
+        if entry is None:
+            return
+        try:
+            await self._keep_lease()
+            if _differs(entry, self._written):
+                await self._write(entry)
+        except LeaseEndedError:
+            self._lease = 0
+            self._written = None
+            raise
+
+    async def _end_lease(self) -> None:
+        lease = self._lease
+        self._lease = 0
+        if lease:
+            await self._store.end_lease(lease)
+
+    async def _keep_lease(self) -> None:
+        now_s = self.context.clock()
+        if self._lease:
+            if now_s - self._renewed_s < RENEW_S * DUE_SHARE:
+                return
+            await self._store.renew_lease(self._lease)
+        else:
+            ttl_ms = max(LEASE_MS, self.mesh.min_lease_ms)
+            self._lease = (await self._store.grant_lease(ttl_ms)).id
+            self._written = None
+        self._renewed_s = now_s
+
+    async def _write(self, entry: ServerEntry) -> None:
+        """Write the entry on condition of the revision that is known.
+
+        A write without an answer may be executed much later; its condition
+        fails then, since the entry has another revision by that time.
+        """
+        content = encode_entry(entry)
+        if self._revision is None:
+            await self._read_revision(content)
+            if self._written is not None:
+                return
+        try:
+            self._revision = await self._store.write(
+                Write(self._key, content, self._revision or 0, self._lease),
+            )
+        except ConflictError as error:
+            self._revision = _revision_of(error.items, self._key)
+            raise
+        except OutcomeUnknownError:
+            self._revision = None
+            raise
+        self._written = entry
+
+    async def _read_revision(self, content: bytes) -> None:
+        listing = await self._store.list_items(self._key)
+        self._revision = _revision_of(listing.items, self._key)
+        for found in listing.items:
+            if found.key == self._key and (found.content, found.lease) == (
+                content,
+                self._lease,
+            ):
+                self._written = decode_entry(content)
+
+    # The others
+
+    async def _keep_watching(self) -> None:
+        revision: int | None = None
+        while True:
+            try:
+                revision = await self._watch(revision)
+            except HistoryGoneError:
+                revision = None
+            except StoreError as error:
+                self._note_store(error)
+                await sleep(RETRY_S * self.context.rng.uniform(0.7, 1.3))
+
+    async def _watch(self, revision: int | None) -> int:
+        now_s = self.context.clock
+        if revision is None:
+            listing = await self._store.list_items(ENTRY_PREFIX)
+            entries = [self._decode(found) for found in listing.items]
+            self._fleet.note_listing(
+                [entry for entry in entries if entry is not None],
+                now_s(),
+            )
+        else:
+            listing = await self._store.watch(ENTRY_PREFIX, revision, WATCH_MS)
+            for changed in listing.items:
+                self._note_change(changed)
+        self._publish()
+        return listing.revision
+
+    def _note_change(self, changed: Item) -> None:
+        now_s = self.context.clock()
+        if changed.content is None:
+            self._fleet.note_removed(
+                changed.key.removeprefix(ENTRY_PREFIX),
+                now_s,
+            )
+            if changed.key == self._key:
+                self._rewrite_lapsed()
+            return
+        entry = self._decode(changed)
+        if entry is not None:
+            self._fleet.note_stored(entry, now_s)
+
+    def _rewrite_lapsed(self) -> None:
+        if self._written is None:
+            return
+        log_event('fleet:own-entry-lapsed', lease=self._lease)
+        self._lease = 0
+        self._revision = 0
+        self._written = None
+        self._changed.set()
+
+    def _decode(self, found: Item) -> ServerEntry | None:
+        try:
+            entry = decode_entry(found.content or b'')
+        except AnnouncementError as error:
+            log_event(
+                'fleet:entry-unreadable',
+                key=found.key,
+                detail=str(error),
+            )
+            return None
+        return entry if entry_key(entry.ip) == found.key else None
+
+    async def _keep_expiring(self) -> None:
+        while True:
+            await sleep(EXPIRE_EVERY_S)
+            self._fleet.expire(self.context.clock())
+            self._publish()
+
+    def _publish(self) -> None:
+        servers = self._fleet.servers()
+        if servers.keys() == self._published.keys() and not any(
+            _differs(entry, self._published[instance])
+            for instance, entry in servers.items()
+        ):
+            return
+        self._published = servers
+        log_event('fleet:servers-changed', count=len(servers))
+        self.post.publish(ServersChanged(servers))
+
+    def _note_store(self, error: StoreError | None) -> None:
+        connected = error is None
+        if connected == self._connected:
+            return
+        self._connected = connected
+        log_event(
+            'fleet:store-changed',
+            connected=connected,
+            detail=repr(error),
+        )
+
+
+def _differs(entry: ServerEntry, written: ServerEntry | None) -> bool:
+    if written is None:
+        return True
+    return entry._replace(sequence=0, cold_ms=0) != written._replace(
+        sequence=0,
+        cold_ms=0,
+    )
+
+
+def _revision_of(items: tuple[Item, ...], key: str) -> int:
+    for found in items:
+        if found.key == key and found.content is not None:
+            return found.revision
+    return 0
+
+
+@MESH_PLUGINS.register('fleet')
+def create_fleet(context: Context) -> FleetTask:
+    """Create the task."""
+    return FleetTask(context)
--- /dev/null
+++ b/bergamotshunt/plugins/mesh/outbound.py
@@ -0,0 +1,139 @@
+"""Requests of the clients on this host."""
+
+from asyncio import sleep
+from http import HTTPStatus
+from typing import Final
+
+from bergamotshunt.carrying import CarriedRequest, Carrier
+from bergamotshunt.decisions.extra_arrivals import ExtraBound
+from bergamotshunt.decisions.routes import SplitChooser, match_route
+from bergamotshunt.http.serving import Exchange, Listener, ServingLimits
+from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
+from bergamotshunt.mesh_messages import (
+    LoadHeard,
+    RoutingChanged,
+    ServersChanged,
+    ServiceUsed,
+)
+from bergamotshunt.mesh_task import MeshTask
+from bergamotshunt.platform.requests import read_client_call
+from bergamotshunt.routing import Routing
+from bergamotshunt.server_records import ServerRecords
+
+MS_PER_S: Final = 1000
+# Clients hear within this time that the daemon is not ready any more. What
+# comes later could not be finished before the process is killed.
+LAST_REQUESTS_S: Final = 2.8
+DRAIN_CHECK_S: Final = 0.05
+
+
+class OutboundTask(MeshTask):
+    """Owns the connections of clients and those to other daemons."""
+
+    name = 'outbound'
+    handlers = HandlerTable()
+
+    def __init__(self, context: Context) -> None:
+        """Create the task of a daemon without a configuration."""
+        super().__init__(context)
+        bounds = self.mesh.bounds
+        self._listener = Listener(self._serve)
+        self._records = ServerRecords(self.mesh.zone)
+        self._splits = SplitChooser(context.rng)
+        self._routing: Routing | None = None
+        self._refusing = False
+        self._used_services: set[str] = set()
+        self._carrier = Carrier(
+            self._records,
+            ExtraBound(
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window_s,
+            ),
+            context.rng,
+            self._count_daemons,
+        )
+
+    async def open(self) -> None:
+        """Listen."""
+        address = self.mesh.outbound
+        await self._listener.open(address.ip, address.port)
+
+    async def drain(self) -> None:
+        """Serve until clients have heard of the stop, then the rest."""
+        self._listener.announce_close()
+        await sleep(LAST_REQUESTS_S)
+        self._refusing = True
+        self._listener.close_idle()
+        while self._listener.running:
+            await sleep(DRAIN_CHECK_S)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._listener.close()
+        self._records.close()
+        await super().close()
+
+    @handlers.on(RoutingChanged)
+    def note_routing(self, message: RoutingChanged) -> None:
+        """Put a newer configuration in force."""
+        limits = message.routing.limits
+        self._routing = message.routing
+        self._splits.forget()
+        self._listener.limits = ServingLimits(
+            limits.head_bytes,
+            limits.body_bytes,
+            limits.head_timeout_ms,
+            limits.idle_timeout_ms,
+        )
+
+    @handlers.on(ServersChanged)
+    def note_servers(self, message: ServersChanged) -> None:
+        """Take over the servers that are known."""
+        self._records.replace(message.servers_by_instance)
+
+    @handlers.on(LoadHeard)
+    def note_load(self, message: LoadHeard) -> None:
+        """Take over a load report."""
+        record = self._records.by_instance.get(message.report.instance)
+        if record is not None:
+            record.note_load(message.report.load, self.context.clock())
+
+    def _count_daemons(self) -> int:
+        return len(self._records.by_instance)
+
+    async def _serve(self, exchange: Exchange) -> None:
+        call = read_client_call(exchange.head)
+        if not call.host or not call.request_id:
+            exchange.answer(HTTPStatus.BAD_REQUEST, [])
+            return
+        routing = self._routing
+        if routing is None or self._refusing:
+            exchange.answer(HTTPStatus.SERVICE_UNAVAILABLE, [])
+            return
+        route = match_route(routing, call.host, call.path)
+        if route is None:
+            exchange.answer(HTTPStatus.NOT_FOUND, [])
+            return
+        service = self._splits.choose(route.parts)
+        if service not in self._used_services:
+            self._used_services.add(service)
+            self.post.publish(ServiceUsed(service))
+        patience_ms = route.timeout_ms
+        if call.patience_ms is not None:
+            patience_ms = min(patience_ms, call.patience_ms)
+        request = CarriedRequest(
+            exchange=exchange,
+            call=call,
+            route=route,
+            service=service,
+            caller=self.mesh.service,
+            deadline_s=exchange.arrived_s + patience_ms / MS_PER_S,
+        )
+        await self._carrier.carry(request)
+
+
+@MESH_PLUGINS.register('outbound')
+def create_outbound(context: Context) -> OutboundTask:
+    """Create the task."""
+    return OutboundTask(context)
--- /dev/null
+++ b/bergamotshunt/plugins/mesh/readiness.py
@@ -0,0 +1,89 @@
+"""Tells whether this daemon can serve requests of clients."""
+
+from http import HTTPStatus
+
+from bergamotshunt.http.serving import Exchange, Listener
+from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
+from bergamotshunt.log import log_event
+from bergamotshunt.mesh_messages import (
+    RoutingChanged,
+    ServersChanged,
+    StopAnnounced,
+)
+from bergamotshunt.mesh_task import MeshTask
+from bergamotshunt.platform.announcements import READY_PATH
+
+
+class ReadinessTask(MeshTask):
+    """Answers the question whether clients may send requests."""
+
+    name = 'readiness'
+    handlers = HandlerTable()
+
+    def __init__(self, context: Context) -> None:
+        """Create the task of a daemon that is not ready."""
+        super().__init__(context)
+        self._listener = Listener(self._serve)
+        self._routed = False
+        self._servers = 0
+        self._stopping = False
+        self._was_ready = False
+
+    async def open(self) -> None:
+        """Listen."""
+        await self._listener.open(self.mesh.ready.ip, self.mesh.ready.port)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._listener.close()
+        await super().close()
+
+    @property
+    def ready(self) -> bool:
+        """Whether there is something to serve with."""
+        return self._routed and bool(self._servers) and not self._stopping
+
+    @handlers.on(RoutingChanged)
+    def note_routing(self, _message: RoutingChanged) -> None:
+        """Note that there is a configuration."""
+        self._routed = True
+        self._log_change()
+
+    @handlers.on(ServersChanged)
+    def note_servers(self, message: ServersChanged) -> None:
+        """Note how many backend servers are known."""
+        self._servers = len(message.servers_by_instance)
+        self._log_change()
+
+    @handlers.on(StopAnnounced)
+    def note_stop(self, _message: StopAnnounced) -> None:
+        """Take no new clients."""
+        self._stopping = True
+        self._log_change()
+
+    async def _serve(self, exchange: Exchange) -> None:
+        path = exchange.head.target.decode('latin-1').partition('?')[0]
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        if path != READY_PATH:
+            status = HTTPStatus.NOT_FOUND
+        elif self.ready:
+            status = HTTPStatus.OK
+        exchange.answer(status, [])
+
+    def _log_change(self) -> None:
+        if self.ready == self._was_ready:
+            return
+        self._was_ready = self.ready
+        log_event(
+            'readiness:changed',
+            ready=self.ready,
+            routed=self._routed,
+            servers=self._servers,
+            stopping=self._stopping,
+        )
+
+
+@MESH_PLUGINS.register('readiness')
+def create_readiness(context: Context) -> ReadinessTask:
+    """Create the task."""
+    return ReadinessTask(context)
--- /dev/null
+++ b/bergamotshunt/server_records.py
@@ -0,0 +1,169 @@
+"""What one daemon knows of the backend servers that it sends to."""
+
+from collections import deque
+from collections.abc import Collection
+from math import exp, inf
+from typing import Final
+
+from bergamotshunt.decisions.placement import ServerView
+from bergamotshunt.decisions.slots import slot_limit
+from bergamotshunt.http.calling import ClientPool
+from bergamotshunt.loads import Load
+from bergamotshunt.routing import ServerEntry, ServerState
+
+MS_PER_S: Final = 1000
+# A report cannot contain what was sent this shortly before it came.
+UNSEEN_S: Final = 0.003
+FAULT_WEIGHT: Final = 0.15
+FAULT_MEMORY_S: Final = 3.0
+# A host that did not accept a connection is not asked again for this time
+# unless it is heard.
+UNREACHABLE_S: Final = 0.5
+USUAL_WEIGHT: Final = 0.05
+MOST_FACTOR: Final = 3.0
+
+
+class ServerRecord:
+    """A backend server, its last report and the connections to it.
+
+    Attributes:
+        entry: What the server announced.
+        pool: Connections to the daemon beside it.
+        load: Last load report.
+        running: Own requests that have no answer yet.
+    """
+
+    def __init__(self, entry: ServerEntry, zone: str) -> None:
+        """Create the record of a server that was not heard yet."""
+        self.entry = entry
+        self.pool = ClientPool(entry.ip, entry.inbound_port)
+        self.load = Load(limit=slot_limit(entry.slots), cold_ms=entry.cold_ms)
+        self.running = 0
+        self._near = entry.zone == zone
+        self._heard_s = inf
+        self._sent_s: deque[float] = deque()
+        self._fault_share: float = 0
+        self._fault_s: float = 0
+        self._unreachable_s = -inf
+
+    def note_load(self, load: Load, now_s: float) -> None:
+        """Note a report."""
+        self.load = load
+        self._heard_s = now_s
+        self._unreachable_s = -inf
+        while self._sent_s and self._sent_s[0] < now_s - UNSEEN_S:
+            self._sent_s.popleft()
+
+    def note_sent(self, now_s: float) -> None:
+        """Note an own request."""
+        self.running += 1
+        self._sent_s.append(now_s)
+
+    def note_end(self) -> None:
+        """Note that an own request has ended."""
+        self.running -= 1
+
+    def note_result(self, now_s: float, *, failed: bool) -> None:
+        """Note whether a request failed at the server."""
+        share = self.fault_share(now_s)
+        self._fault_share = share + (failed - share) * FAULT_WEIGHT
+        self._fault_s = now_s
+
+    def note_unreachable(self, now_s: float) -> None:
+        """Note that no connection could be made."""
+        self._unreachable_s = now_s
+
+    def fault_share(self, now_s: float) -> float:
+        """Return the smoothed share of failed requests."""
+        age_s = now_s - self._fault_s
+        return self._fault_share * exp(-age_s / FAULT_MEMORY_S)
+
+    def heard_within(self, now_s: float, span_s: float) -> bool:
+        """Tell whether a report came within a time."""
+        return now_s - self._heard_s < span_s and self._heard_s is not inf
+
+    def is_usable(self, now_s: float) -> bool:
+        """Tell whether the server may get a request."""
+        return (
+            self.entry.state is ServerState.READY
+            and now_s - self._unreachable_s > UNREACHABLE_S
+        )
+
+    def view(self, now_s: float) -> ServerView:
+        """Return what a chooser needs to know."""
+        unheard = self._heard_s == inf
+        return ServerView(
+            instance=self.entry.instance,
+            near=self._near,
+            load=self.load,
+            age_ms=0 if unheard else (now_s - self._heard_s) * MS_PER_S,
+            unseen=len(self._sent_s),
+            fault_share=self.fault_share(now_s),
+        )
+
+
+class ServerRecords:
+    """All backend servers that a daemon may send to.
+
+    Args:
+        zone: Availability zone of the daemon.
+    """
+
+    def __init__(self, zone: str) -> None:
+        """Create records without servers."""
+        self.by_instance: dict[str, ServerRecord] = {}
+        self._zone = zone
+        self._by_service: dict[str, list[ServerRecord]] = {}
+        self._usual_ms_by_route: dict[str, float] = {}
+
+    def replace(self, servers_by_instance: dict[str, ServerEntry]) -> None:
+        """Take over the servers that are known now."""
+        for instance in self.by_instance.keys() - servers_by_instance.keys():
+            self.by_instance.pop(instance).pool.close()
+        for entry in servers_by_instance.values():
+            known = self.by_instance.get(entry.instance)
+            if known is None or known.entry.ip != entry.ip:
+                self.by_instance[entry.instance] = ServerRecord(
+                    entry,
+                    self._zone,
+                )
+            else:
+                known.entry = entry
+        self._by_service = {}
+        for record in self.by_instance.values():
+            self._by_service.setdefault(record.entry.service, []).append(
+                record,
+            )
+
+    def views(
+        self,
+        service: str,
+        tried: Collection[str],
+        now_s: float,
+    ) -> list[ServerView]:
+        """Return the servers of a service that a request may still go to."""
+        return [
+            record.view(now_s)
+            for record in self._by_service.get(service, ())
+            if record.entry.instance not in tried and record.is_usable(now_s)
+        ]
+
+    def usual_ms(self, route: str) -> float:
+        """Return the usual time of work of a route; 0 when unknown."""
+        return self._usual_ms_by_route.get(route, 0)
+
+    def note_work(self, route: str, took_ms: float, pace: float) -> None:
+        """Note how long a request of a route took at a server."""
+        usual_ms = took_ms / max(pace, 1)
+        known_ms = self._usual_ms_by_route.get(route)
+        if known_ms is None:
+            self._usual_ms_by_route[route] = usual_ms
+            return
+        usual_ms = min(usual_ms, known_ms * MOST_FACTOR)
+        known_ms += (usual_ms - known_ms) * USUAL_WEIGHT
+        self._usual_ms_by_route[route] = known_ms
+
+    def close(self) -> None:
+        """Close all connections."""
+        for record in self.by_instance.values():
+            record.pool.close()
--- /dev/null
+++ b/bergamotshunt/server_requests.py
@@ -0,0 +1,167 @@
+"""Requests to the backend server on this host."""
+
+from asyncio import Task as AsyncioTask
+from asyncio import create_task
+from collections.abc import Callable
+from functools import partial
+from typing import Final
+
+from bergamotshunt.http.bodies import BodyCutError
+from bergamotshunt.http.calling import (
+    Answer,
+    ClientConnection,
+    ClientPool,
+    NotSentError,
+)
+from bergamotshunt.http.heads import AnswerHead, write_request
+from bergamotshunt.http.serving import Exchange
+from bergamotshunt.mesh_settings import Address
+from bergamotshunt.peer_calls import PeerCall
+from bergamotshunt.platform.requests import (
+    ServerSaid,
+    read_server_answer,
+    server_headers,
+)
+from bergamotshunt.slot_turns import Refusal, RefusedError
+
+SMALL_BODY_BYTES: Final = 65_536
+
+
+class ServerRequests:
+    """Sends requests to the server on kept connections.
+
+    Args:
+        address: Address of the server.
+        note_down: Called with the reason when it accepts no connection.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        note_down: Callable[[str], None],
+    ) -> None:
+        """Create it without connections."""
+        self._host = str(address).encode()
+        self._pool = ClientPool(address.ip, address.port)
+        self._note_down = note_down
+
+    async def connect(self) -> ClientConnection:
+        """Return a connection.
+
+        Raises:
+            RefusedError: The server accepts none.
+        """
+        try:
+            connected = await self._pool.connect()
+        except NotSentError as error:
+            self._note_down(str(error))
+            raise RefusedError(Refusal('server-down')) from error
+        return connected.connection
+
+    def put_back(self, connection: ClientConnection) -> None:
+        """Keep a connection for the next request, or close it."""
+        self._pool.put_back(connection)
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        self._pool.close()
+
+    async def probe(self, path: str) -> ServerSaid:
+        """Ask for the load of the server.
+
+        Raises:
+            RefusedError: The server accepts no connection.
+            ConnectionError: It gave no answer.
+        """
+        request = write_request(
+            b'GET',
+            path.encode(),
+            [(b'Host', self._host)],
+            0,
+        )
+        connection = await self.connect()
+        try:
+            answer = await connection.begin(request, whole=True)
+            await answer.body.gather(SMALL_BODY_BYTES)
+        except BaseException:
+            connection.close()
+            raise
+        self._pool.put_back(connection)
+        return read_server_answer(answer.head)
+
+    async def send(
+        self,
+        connection: ClientConnection,
+        exchange: Exchange,
+        call: PeerCall,
+        left_ms: float,
+    ) -> Answer:
+        """Send a request and wait for the head of its answer.
+
+        Args:
+            connection: Connection to the server.
+            exchange: The request, as the other daemon sent it.
+            call: What that daemon says of it.
+            left_ms: Time until the final answer is due.
+
+        Raises:
+            RefusedError: Nothing was sent.
+            ConnectionError: There is no answer.
+        """
+        head = exchange.head
+        body = await _gather_small(exchange)
+        content = write_request(
+            head.method,
+            head.target,
+            server_headers(head, call, left_ms),
+            head.length if body is None else len(body),
+        )
+        try:
+            waiting = connection.begin(
+                content + (body or b''),
+                partial(_is_answer_of, call.request_id),
+                whole=body is not None,
+                bodyless=head.method == b'HEAD',
+            )
+        except NotSentError as error:
+            raise RefusedError(Refusal('server-down')) from error
+        if body is not None:
+            return await waiting
+        sending = create_task(_send_body(connection, exchange))
+        try:
+            return await waiting
+        finally:
+            _stop_sending(sending)
+
+
+def _stop_sending(sending: 'AsyncioTask[None]') -> None:
+    """End a transfer whose request was answered before it was whole."""
+    if not sending.done():
+        sending.cancel()
+
+
+async def _gather_small(exchange: Exchange) -> bytes | None:
+    length = exchange.head.length
+    if length is None or length > SMALL_BODY_BYTES:
+        return None
+    return await exchange.body.gather(SMALL_BODY_BYTES)
+
+
+async def _send_body(
+    connection: ClientConnection,
+    exchange: Exchange,
+) -> None:
+    chunked = exchange.head.length is None
+    try:
+        while piece := await exchange.body.read():
+            await connection.write(piece, chunked=chunked)
+    except BodyCutError:
+        connection.close()
+        return
+    await connection.write(b'', chunked=chunked)
+
+
+def _is_answer_of(request_id: str, head: AnswerHead) -> bool:
+    """Tell the answer of a request from a late one of an earlier request."""
+    answered_id = read_server_answer(head).request_id
+    return not answered_id or answered_id == request_id
