Keep a stopping server in use and take up a running one at once

Change: the server is announced as not serving 2.2 s after the stop; its entry stays in the store, and the next process takes it over when the server's health path names the same lifetime and says that it is well.

--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -32,6 +32,16 @@
     entry: ServerEntry
 
 
+class StoredServerFound(NamedTuple):
+    """The store still has the entry that an earlier process wrote.
+
+    Attributes:
+        entry: The entry of the backend server on this host.
+    """
+
+    entry: ServerEntry
+
+
 class OwnLoadChanged(NamedTuple):
     """The load of the backend server on this host changed.
 
--- a/bergamotshunt/platform/requests.py
+++ b/bergamotshunt/platform/requests.py
@@ -1,5 +1,6 @@
 """Requests of clients and answers of backend servers on the wire."""
 
+from http import HTTPStatus
 from typing import Final, NamedTuple
 
 from bergamotshunt.http.heads import (
@@ -26,7 +27,6 @@
     TIMEOUT_MS,
 )
 
-MISDIRECTED: Final = 421
 # The fourth figure of a server's load is in percent of the usual time.
 PACE_UNIT: Final = 100.0
 PACE_POSITION: Final = 3
@@ -71,6 +71,7 @@
         instance: Its lifetime, where it states it.
         signed: Whether the answer bears the server's signature.
         pace: How long work takes now; None when it does not say.
+        healthy: Whether its status is one of success.
     """
 
     refused: bool
@@ -79,6 +80,7 @@
     instance: str
     signed: bool
     pace: float | None
+    healthy: bool
 
 
 def read_client_call(head: RequestHead) -> ClientCall:
@@ -140,7 +142,7 @@
 def read_server_answer(head: AnswerHead) -> ServerSaid:
     """Read what a backend server says beside its answer."""
     by_name = head.by_name
-    misdirected = head.status == MISDIRECTED
+    misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
     return ServerSaid(
         refused=misdirected or NOT_EXECUTED.lower() in by_name,
         misdirected=misdirected,
@@ -148,6 +150,7 @@
         instance=by_name.get(INSTANCE_ID.lower(), b'').decode('latin-1'),
         signed=SIGNATURE.lower() in by_name,
         pace=_read_pace(by_name.get(SERVER_LOAD.lower(), b'')),
+        healthy=head.status == HTTPStatus.OK,
     )
 
 
--- a/bergamotshunt/plugins/mesh/control.py
+++ b/bergamotshunt/plugins/mesh/control.py
@@ -7,7 +7,7 @@
 from bergamotshunt.http.bodies import BodyCutError
 from bergamotshunt.http.heads import Header
 from bergamotshunt.http.serving import Exchange, Listener
-from bergamotshunt.kernel import MESH_PLUGINS, Context
+from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.log import log_event
 from bergamotshunt.mesh_messages import OwnServerChanged
 from bergamotshunt.mesh_task import MeshTask
@@ -27,6 +27,7 @@
     """Listens for announcements and acknowledges them."""
 
     name = 'control'
+    handlers = HandlerTable()
 
     def __init__(self, context: Context) -> None:
         """Create the task without a socket."""
@@ -43,6 +44,12 @@
         await self._listener.close()
         await super().close()
 
+    @handlers.on(OwnServerChanged)
+    def note_server(self, message: OwnServerChanged) -> None:
+        """Compare later announcements with a server found in the store."""
+        if is_newer(message.entry, self._known):
+            self._known = message.entry
+
     async def _serve(self, exchange: Exchange) -> None:
         path = exchange.head.target.decode('latin-1').partition('?')[0]
         instance = path.removeprefix(PATH)
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -11,6 +11,7 @@
     OwnServerChanged,
     ServersChanged,
     StopAnnounced,
+    StoredServerFound,
 )
 from bergamotshunt.mesh_task import MeshTask
 from bergamotshunt.platform.announcements import (
@@ -30,7 +31,7 @@
     StoreError,
     Write,
 )
-from bergamotshunt.routing import ServerEntry
+from bergamotshunt.routing import ServerEntry, ServerState
 
 LEASE_MS: Final = 5000
 RENEW_S: Final = 1.6
@@ -93,8 +94,13 @@
 
     @handlers.on(StopAnnounced)
     def note_stop(self, _message: StopAnnounced) -> None:
-        """End the lease: the server is out of reach soon."""
-        self._stopping = True
+        """End the lease of a server that has left.
+
+        The entry of one that still runs is kept: the next process of this
+        daemon finds it there and serves at once.
+        """
+        own = self._own
+        self._stopping = own is None or own.state is ServerState.LEAVING
         self._changed.set()
 
     # The own entry
@@ -202,11 +208,12 @@
         now_s = self.context.clock
         if revision is None:
             listing = await self._store.list_items(ENTRY_PREFIX)
-            entries = [self._decode(found) for found in listing.items]
-            self._fleet.note_listing(
-                [entry for entry in entries if entry is not None],
-                now_s(),
-            )
+            decoded = map(self._decode, listing.items)
+            entries = [entry for entry in decoded if entry is not None]
+            self._fleet.note_listing(entries, now_s())
+            self._offer_own(entries)
+            if self._written is None:
+                self._revision = _revision_of(listing.items, self._key)
         else:
             listing = await self._store.watch(ENTRY_PREFIX, revision, WATCH_MS)
             for changed in listing.items:
@@ -214,6 +221,14 @@
         self._publish()
         return listing.revision
 
+    def _offer_own(self, entries: list[ServerEntry]) -> None:
+        """Offer the own server's entry before it announces itself again."""
+        if self._own is not None:
+            return
+        for entry in entries:
+            if entry.ip == self.mesh.ip:
+                self.post.publish(StoredServerFound(entry))
+
     def _note_change(self, changed: Item) -> None:
         now_s = self.context.clock()
         if changed.content is None:
--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -20,7 +20,7 @@
     OwnLoadChanged,
     OwnServerChanged,
     RoutingChanged,
-    StopAnnounced,
+    StoredServerFound,
 )
 from bergamotshunt.mesh_task import MeshTask
 from bergamotshunt.peer_calls import (
@@ -46,6 +46,10 @@
 MS_PER_S: Final = 1000
 PROBE_TIMEOUT_S: Final = 0.5
 DOWN_LOOK_MS: Final = 100.0
+# The server stays in use this long after the stop was announced; then peers
+# have some time to learn that it is not.
+LAST_REQUESTS_S: Final = 2.2
+LAST_OFFERS_S: Final = 0.4
 DRAIN_CHECK_S: Final = 0.05
 # The answer of the server may take this much longer than its time.
 OVERTIME_MS: Final = 150
@@ -70,6 +74,7 @@
             self._tell_load,
         )
         self._entry: ServerEntry | None = None
+        self._stored: ServerEntry | None = None
         self._announced_s: float = 0
         self._routing: Routing | None = None
         self._gauge = ServerGauge()
@@ -86,7 +91,11 @@
         self.spawn(self._keep_probing())
 
     async def drain(self) -> None:
-        """Wait until no request runs here."""
+        """Serve peers as long as work can still end, then the rest."""
+        await sleep(LAST_REQUESTS_S)
+        self._stopping = True
+        self._tell_load()
+        await sleep(LAST_OFFERS_S)
         while self._listener.running:
             await sleep(DRAIN_CHECK_S)
 
@@ -116,11 +125,11 @@
             self._turns.refuse_all('leaving')
         self._tell_load()
 
-    @handlers.on(StopAnnounced)
-    def note_stop(self, _message: StopAnnounced) -> None:
-        """Let peers choose other servers."""
-        self._stopping = True
-        self._tell_load()
+    @handlers.on(StoredServerFound)
+    def note_stored(self, message: StoredServerFound) -> None:
+        """Look whether the server of an earlier process still runs."""
+        if self._entry is None:
+            self._stored = message.entry
 
     # Requests of peers
 
@@ -322,9 +331,10 @@
                 await self._probe()
 
     async def _probe(self) -> None:
-        if self._entry is None or self._routing is None:
+        entry = self._entry or self._stored
+        if entry is None or self._routing is None:
             return
-        rules = self._routing.services_by_name.get(self._entry.service)
+        rules = self._routing.services_by_name.get(entry.service)
         if rules is None:
             return
         try:
@@ -332,12 +342,28 @@
                 said = await self._requests.probe(rules.health_path)
         except (RefusedError, ConnectionError, TimeoutError):
             return
+        if self._entry is None:
+            self._adopt_stored(said)
+            return
         if self._down:
             self._down = False
             log_event('inbound:server-up', instance=said.instance)
         self._gauge.note_pace(said.pace, self.now_ms())
         self._tell_load()
 
+    def _adopt_stored(self, said: ServerSaid) -> None:
+        """Serve a running server before it announces itself again.
+
+        A server that is about to leave says that it is not healthy.
+        """
+        stored = self._stored
+        if stored is None or stored.instance != said.instance:
+            return
+        if said.healthy and stored.state is ServerState.READY:
+            self._stored = None
+            log_event('inbound:server-adopted', instance=stored.instance)
+            self.post.publish(OwnServerChanged(stored))
+
 
 @MESH_PLUGINS.register('inbound')
 def create_inbound(context: Context) -> InboundTask:
--- a/bergamotshunt/tests/mesh.py
+++ b/bergamotshunt/tests/mesh.py
@@ -14,6 +14,7 @@
 from bergamotshunt.mesh_daemon import create_mesh_kernel
 from bergamotshunt.mesh_settings import Address, Bounds, MeshSettings
 from bergamotshunt.platform.names import REQUEST_ID, TIMEOUT_MS
+from bergamotshunt.plugins.mesh.inbound import InboundTask
 from bergamotshunt.plugins.mesh.outbound import OutboundTask
 from standins.mesh_server import Behaviour, MeshServer
 from standins.mesh_store import MeshStore
@@ -138,6 +139,19 @@
         routing = outbound_of(self.places[number])._routing
         return routing.version if routing else 0
 
+    def is_serving(self, number: int) -> bool:
+        task = self.places[number].kernel.tasks_by_name['inbound']
+        assert isinstance(task, InboundTask)
+        return task._load().serving
+
+    async def restart(self, number: int) -> None:
+        """End a daemon as if it was killed, and start it again."""
+        place = self.places[number]
+        await place.kernel.stop()
+        kernel = create_mesh_kernel(place.settings, seed=number)
+        await kernel.start()
+        self.places[number] = place._replace(kernel=kernel)
+
     async def until(self, is_true: Callable[[], bool]) -> None:
         async with asyncio.timeout(PATIENCE_S):
             while not is_true():
--- a/bergamotshunt/tests/test_mesh_path.py
+++ b/bergamotshunt/tests/test_mesh_path.py
@@ -178,3 +178,35 @@
             assert (await mesh.ask(0, '/read/1', 'r1')).status == 200
 
     asyncio.run(walk())
+
+
+def test_restarted_daemon_serves_its_running_server_at_once() -> None:
+    """Guards against an idle server until its next announcement."""
+
+    async def walk() -> None:
+        async with Mesh([answer_whole]) as mesh:
+            await mesh.until(lambda: len(mesh.store.contents('bergam')) == 1)
+            await mesh.restart(0)
+            await mesh.until(lambda: mesh.version(0) == 1)
+            await mesh.until(lambda: mesh.is_serving(0))
+            assert (await mesh.ask(0, '/read/1', 'r1')).status == 200
+
+    asyncio.run(walk())
+
+
+def test_restarted_daemon_keeps_out_of_a_leaving_server() -> None:
+    """Guards against adoption of a server that is about to leave."""
+
+    async def walk() -> None:
+        async with Mesh([answer_whole]) as mesh:
+            await mesh.until(lambda: len(mesh.store.contents('bergam')) == 1)
+            mesh.places[0].server.healthy = False
+            await mesh.restart(0)
+            await mesh.until(lambda: mesh.version(0) == 1)
+            probes = mesh.places[0].server.probes
+            await mesh.until(lambda: mesh.places[0].server.probes > probes + 3)
+            assert not mesh.is_serving(0)
+            assert (await mesh.ask(0, '/read/1', 'r1')).status == 503
+            assert mesh.runs() == []
+
+    asyncio.run(walk())
--- a/standins/mesh_server.py
+++ b/standins/mesh_server.py
@@ -31,6 +31,8 @@
         load: What it says of its load.
         cancelled: Requests whose connection ended before the answer.
         may_answer: Answers wait for it.
+        healthy: What it answers to probes.
+        probes: Probes that it answered.
     """
 
     def __init__(self, instance: str, behaviour: Behaviour) -> None:
@@ -41,6 +43,8 @@
         self.heads: list[dict[bytes, bytes]] = []
         self.load = b'0,0,8,100'
         self.cancelled = 0
+        self.healthy = True
+        self.probes = 0
         self.may_answer = Event()
         self.may_answer.set()
         self._behaviour = behaviour
@@ -81,8 +85,9 @@
     async def _serve(self, exchange: Exchange) -> None:
         head = exchange.head
         if head.target == HEALTH_PATH:
+            self.probes += 1
             exchange.answer(
-                200,
+                200 if self.healthy else 503,
                 [
                     (INSTANCE_ID, self.instance.encode()),
                     (SERVER_LOAD, self.load),
