Serve the calls of running requests first

Change: the daemon beside a server tells which requests run there; a request whose identity extends one of them has depth, waits to its end and goes before new work at each queue (WaitingQueue had depth already).

--- a/bergamotshunt/carried_requests.py
+++ b/bergamotshunt/carried_requests.py
@@ -21,6 +21,7 @@
         service: The service that runs it.
         caller: Service of this host.
         deadline_s: Time of the loop at which the final answer is due.
+        depth: Requests above it that wait for its answer.
     """
 
     exchange: Exchange
@@ -29,6 +30,7 @@
     service: str
     caller: str
     deadline_s: float
+    depth: int = 0
 
     def time_left(self) -> TimeLeft:
         """Return the time until the goal and until the end."""
@@ -39,6 +41,12 @@
         return (self.deadline_s - get_running_loop().time()) * MS_PER_S
 
     def goal_left_ms(self) -> float:
-        """Return the time until an answer is worth less."""
+        """Return the time until an answer is worth less.
+
+        A request that a server makes while it runs another one is useful
+        to the end: without its answer, the work above it is lost.
+        """
+        if self.depth:
+            return self.left_ms()
         passed_s = get_running_loop().time() - self.exchange.arrived_s
         return self.route.goal_ms - passed_s * MS_PER_S
--- a/bergamotshunt/dispatching.py
+++ b/bergamotshunt/dispatching.py
@@ -62,8 +62,6 @@
         request: CarriedRequest,
         instance: str,
         body: bytes | None,
-        *,
-        repeated: bool,
     ) -> 'AsyncioTask[Outcome]':
         """Start an attempt at a server."""
         call = PeerCall(
@@ -74,7 +72,7 @@
             goal_ms=round(request.goal_left_ms(), 1),
             rank=request.route.rank,
             idempotent=request.route.idempotent,
-            repeated=repeated,
+            depth=request.depth,
         )
         record = self._records.by_instance[instance]
         return create_task(attempt(record, request.exchange, call, body))
--- a/bergamotshunt/journeys.py
+++ b/bergamotshunt/journeys.py
@@ -149,12 +149,7 @@
         self._offers += 1
         self._choices.append(self._describe(choice))
         self._tried.add(choice.instance)
-        task = self._dispatcher.start(
-            request,
-            choice.instance,
-            body,
-            repeated=self._runs > 0,
-        )
+        task = self._dispatcher.start(request, choice.instance, body)
         self.may_have_run = True
         record = self._dispatcher.record(choice.instance)
         record.watchers.add(self._nudge)
--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -56,6 +56,18 @@
     urgent: bool
 
 
+class RunBegan(NamedTuple):
+    """The backend server on this host begins to run a request."""
+
+    request_id: str
+
+
+class RunEnded(NamedTuple):
+    """The backend server on this host has ended a request."""
+
+    request_id: str
+
+
 class LoadHeard(NamedTuple):
     """A report of another daemon arrived."""
 
--- a/bergamotshunt/peer_calls.py
+++ b/bergamotshunt/peer_calls.py
@@ -26,7 +26,7 @@
         goal_ms: Time until an answer is worth less.
         rank: Urgency; 0 is the highest.
         idempotent: Whether it may run more than once.
-        repeated: Whether another server may have run it before.
+        depth: Requests above it that wait for its answer.
     """
 
     request_id: str
@@ -36,7 +36,7 @@
     goal_ms: float
     rank: int
     idempotent: bool
-    repeated: bool = False
+    depth: int = 0
 
 
 class PeerResult(NamedTuple):
--- a/bergamotshunt/platform/requests.py
+++ b/bergamotshunt/platform/requests.py
@@ -96,6 +96,15 @@
     )
 
 
+def parent_id(request_id: str) -> str:
+    """Return the identity of the request that may have made this call.
+
+    A server that calls others builds the identity of a call from that of
+    the request that it runs, a dot and a suffix.
+    """
+    return request_id.rpartition('.')[0]
+
+
 def peer_headers(head: RequestHead, call: PeerCall) -> list[Header]:
     """Return the headers for the daemon beside the server."""
     headers = [
--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -20,6 +20,8 @@
     OwnLoadChanged,
     OwnServerChanged,
     RoutingChanged,
+    RunBegan,
+    RunEnded,
     StoredServerFound,
 )
 from bergamotshunt.mesh_task import MeshTask
@@ -162,9 +164,11 @@
     ) -> None:
         self._check(call)
         await self._turns.take(call)
+        self.post.publish(RunBegan(call.request_id))
         try:
             await self._run(exchange, call, deadline_ms)
         finally:
+            self.post.publish(RunEnded(call.request_id))
             self._turns.free()
 
     def _check(self, call: PeerCall) -> None:
--- a/bergamotshunt/plugins/mesh/outbound.py
+++ b/bergamotshunt/plugins/mesh/outbound.py
@@ -1,6 +1,7 @@
 """Requests of the clients on this host."""
 
 from asyncio import sleep
+from collections import Counter
 from http import HTTPStatus
 from typing import Final
 
@@ -14,11 +15,13 @@
 from bergamotshunt.mesh_messages import (
     LoadHeard,
     RoutingChanged,
+    RunBegan,
+    RunEnded,
     ServersChanged,
     ServiceUsed,
 )
 from bergamotshunt.mesh_task import MeshTask
-from bergamotshunt.platform.requests import read_client_call
+from bergamotshunt.platform.requests import parent_id, read_client_call
 from bergamotshunt.routing import Routing
 from bergamotshunt.server_records import ServerRecords
 
@@ -44,6 +47,7 @@
         self._splits = SplitChooser(context.rng)
         self._routing: Routing | None = None
         self._refusing = False
+        self._runs_here: Counter[str] = Counter()
         self._used_services: set[str] = set()
         bound = ExtraBound(
             bounds.retry_ratio,
@@ -104,6 +108,25 @@
         if record is not None:
             record.note_load(message.report.load, self.context.clock())
 
+    @handlers.on(RunBegan)
+    def note_run(self, message: RunBegan) -> None:
+        """Note a request that may make calls of its own."""
+        self._runs_here[message.request_id] += 1
+
+    @handlers.on(RunEnded)
+    def note_run_end(self, message: RunEnded) -> None:
+        """Note that a request makes no more calls."""
+        self._runs_here[message.request_id] -= 1
+        if not self._runs_here[message.request_id]:
+            self._runs_here.pop(message.request_id)
+
+    def _depth(self, request_id: str) -> int:
+        """Return how many requests wait for the answer to this one."""
+        parent = parent_id(request_id)
+        if parent not in self._runs_here:
+            return 0
+        return 1 + self._depth(parent)
+
     def _count_daemons(self) -> int:
         return len(self._records.by_instance)
 
@@ -134,6 +157,7 @@
             service=service,
             caller=self.mesh.service,
             deadline_s=exchange.arrived_s + patience_ms / MS_PER_S,
+            depth=self._depth(call.request_id),
         )
         await self._carrier.carry(request)
 
--- a/bergamotshunt/slot_turns.py
+++ b/bergamotshunt/slot_turns.py
@@ -134,6 +134,7 @@
             work_id=self._next_id,
             deadline_ms=self._now_ms() + call.left_ms,
             weight=weight,
+            depth=call.depth,
         )
 
     async def _wait(self, work: Work) -> None:
--- a/bergamotshunt/tests/mesh.py
+++ b/bergamotshunt/tests/mesh.py
@@ -140,9 +140,15 @@
         return routing.version if routing else 0
 
     def is_serving(self, number: int) -> bool:
+        return self._inbound(number)._load().serving
+
+    def waiting(self, number: int) -> int:
+        return self._inbound(number)._load().waiting
+
+    def _inbound(self, number: int) -> InboundTask:
         task = self.places[number].kernel.tasks_by_name['inbound']
         assert isinstance(task, InboundTask)
-        return task._load().serving
+        return task
 
     async def restart(self, number: int) -> None:
         """End a daemon as if it was killed, and start it again."""
--- a/bergamotshunt/tests/test_mesh_path.py
+++ b/bergamotshunt/tests/test_mesh_path.py
@@ -210,3 +210,28 @@
             assert mesh.runs() == []
 
     asyncio.run(walk())
+
+
+def test_call_of_a_running_request_goes_first() -> None:
+    """Pattern: overload at a service that running requests wait for.
+
+    Guards against refusal of a call whose parent's work would be lost.
+    """
+
+    async def walk() -> None:
+        async with Mesh([answer_whole]) as mesh:
+            server = mesh.places[0].server
+            assert await mesh.announce(0, slots=2, seq=2) == 200
+            server.may_answer.clear()
+            parent = asyncio.create_task(mesh.ask(0, '/read/1', 'parent'))
+            await mesh.until(lambda: len(server.runs) == 1)
+            first = asyncio.create_task(mesh.ask(0, '/read/1', 'other'))
+            await mesh.until(lambda: mesh.waiting(0) == 1)
+            call_ = asyncio.create_task(mesh.ask(0, '/read/1', 'parent.1'))
+            await mesh.until(lambda: mesh.waiting(0) == 2)
+            server.may_answer.set()
+            said = await asyncio.gather(parent, first, call_)
+            assert [one.status for one in said] == [200, 200, 200]
+            assert server.runs == [b'parent', b'parent.1', b'other']
+
+    asyncio.run(walk())
