Explain a request from its log lines and show metrics

Cause: on-call engineers had no way from a failed request to its cause on the platform: the daemon wrote lines of beliefs only and no metrics.

--- a/bergamotshunt/carrying.py
+++ b/bergamotshunt/carrying.py
@@ -65,8 +65,7 @@
         outcome: Outcome,
     ) -> None:
         if outcome.verdict is Verdict.NOT_RUN:
-            again_ms = outcome.result.again_ms if outcome.result else 0
-            self._answer_refusal(request, again_ms)
+            self._answer_refusal(request, outcome.again_ms)
         else:
             request.exchange.answer(HTTPStatus.BAD_GATEWAY, [])
 
--- a/bergamotshunt/cli.py
+++ b/bergamotshunt/cli.py
@@ -10,6 +10,7 @@
 
 from bergamotshunt.daemon import run_daemon
 from bergamotshunt.local_command import run_local
+from bergamotshunt.mesh_commands import explain_request, show_beliefs
 from bergamotshunt.operator_commands import status, targets_app
 from bergamotshunt.settings import Settings, read_settings
 from bergamotshunt.settings_page import create_settings_page
@@ -39,6 +40,8 @@
 def daemon(settings: Path) -> int:
     """Run the daemon beside a backend server until SIGTERM.
 
+    On the users' platform: ``daemon --platform``, without a file.
+
     Args:
         settings: INI file with the settings.
     """
@@ -56,6 +59,28 @@
     return 0
 
 
+@app.command
+def explain(request_id: str, *files: Path) -> int:
+    """Put the log lines of a request in order and name the cause.
+
+    Args:
+        request_id: Identity of the client's attempt.
+        files: Logs of all hosts; standard input without them.
+    """
+    return explain_request(request_id, files)
+
+
+@app.command
+def beliefs(ip: str, port: int) -> int:
+    """Show what a daemon of a mesh believes, and since when.
+
+    Args:
+        ip: Host of the daemon.
+        port: Port of its metrics.
+    """
+    return show_beliefs(ip, port)
+
+
 @app.command
 def local(*, calls: int = 0, seed: int = 1) -> int:
     """Run a whole fleet in this process, to try the system.
--- a/bergamotshunt/decisions/placement.py
+++ b/bergamotshunt/decisions/placement.py
@@ -64,13 +64,18 @@
     """Expected time to the answer of one more request.
 
     Attributes:
-        total_ms: All of it.
+        total_ms: All of it, for a request that is longer than usual.
         wait_ms: Time in the queue.
     """
 
     total_ms: float
     wait_ms: float
 
+    @property
+    def run_ms(self) -> float:
+        """Time on the server of a usual request."""
+        return (self.total_ms - self.wait_ms) / LONG_WORK_FACTOR
+
 
 def estimate(view: ServerView, usual: UsualWork) -> Estimate:
     """Estimate the time to the answer of one more request.
--- a/bergamotshunt/dispatching.py
+++ b/bergamotshunt/dispatching.py
@@ -7,6 +7,7 @@
 from time import monotonic
 
 from bergamotshunt.carried_requests import CarriedRequest
+from bergamotshunt.counts import Counts
 from bergamotshunt.decisions.extra_arrivals import ExtraBound, ExtraBudget
 from bergamotshunt.decisions.placement import Choice, UsualWork, choose_server
 from bergamotshunt.peer_attempts import Outcome, attempt
@@ -23,10 +24,12 @@
         bound: Bound on extra arrivals of the whole fleet.
         rng: Random source.
         count_daemons: Tells how many daemons share the bound.
+        counts: Series of the task that sends the requests.
 
     Attributes:
         log: Lines about requests, bounded in their number.
         rng: Random source.
+        counts: Series of the task that sends the requests.
     """
 
     def __init__(
@@ -35,10 +38,12 @@
         bound: ExtraBound,
         rng: Random,
         count_daemons: Callable[[], int],
+        counts: Counts,
     ) -> None:
         """Create a dispatcher."""
         self.log = RequestLog(monotonic)
         self.rng = rng
+        self.counts = counts
         self._records = records
         self._bound = bound
         self._count_daemons = count_daemons
@@ -92,7 +97,9 @@
     def may_repeat(self, service: str) -> bool:
         """Take the budget of an extra arrival, if there is one."""
         now_s = get_running_loop().time()
-        return self._budget(service).spend(now_s, self._count_daemons())
+        permitted = self._budget(service).spend(now_s, self._count_daemons())
+        self.counts.add('extra_arrivals', permitted=str(permitted).lower())
+        return permitted
 
     def note_outcome(
         self,
--- a/bergamotshunt/journeys.py
+++ b/bergamotshunt/journeys.py
@@ -85,6 +85,18 @@
         """Write the line of a request with an answer of a server."""
         request = self._request
         took_s = get_running_loop().time() - request.exchange.arrived_s
+        kind = request.route.kind.value
+        self._dispatcher.counts.add(
+            'requests_failed_by_server'
+            if outcome.failed
+            else 'requests_answered',
+            kind=kind,
+        )
+        self._dispatcher.counts.observe(
+            'request',
+            took_s * MS_PER_S,
+            kind=kind,
+        )
         self._dispatcher.log.note(
             'carrier:answered',
             failed=outcome.failed,
@@ -100,6 +112,11 @@
     def log(self, reason: str) -> None:
         """Write the line of a request without an answer of a server."""
         request = self._request
+        self._dispatcher.counts.add(
+            'requests_without_answer',
+            kind=request.route.kind.value,
+            reason=reason.partition(':')[0],
+        )
         self._dispatcher.log.note(
             'carrier:failed',
             failed=True,
@@ -130,23 +147,32 @@
         if self._offers >= MOST_OFFERS or request.left_ms() < LEAST_LEFT_MS:
             return False
         choice = self._dispatcher.choose(request, self._tried)
-        if choice is None or not self._is_wait_worth(choice):
+        if choice is None:
+            return False
+        if not self._is_wait_worth(choice):
+            self._note_failure(
+                Outcome(
+                    Verdict.NOT_RUN,
+                    f'no-slot-in-time: {self._describe(choice)}',
+                    again_ms=choice.estimate.wait_ms,
+                ),
+            )
             return False
         self._launch(choice, body)
         return True
 
     def _is_wait_worth(self, choice: Choice) -> bool:
         request = self._request
-        wait_ms = choice.estimate.wait_ms
         return is_wait_worth(
-            wait_ms * WAIT_DOUBT,
-            choice.estimate.total_ms - wait_ms,
+            choice.estimate.wait_ms * WAIT_DOUBT,
+            choice.estimate.run_ms,
             request.time_left(),
         )
 
     def _launch(self, choice: Choice, body: bytes | None) -> None:
         request = self._request
         self._offers += 1
+        self._dispatcher.counts.add('attempts')
         self._choices.append(self._describe(choice))
         self._tried.add(choice.instance)
         task = self._dispatcher.start(request, choice.instance, body)
--- a/bergamotshunt/mesh_daemon.py
+++ b/bergamotshunt/mesh_daemon.py
@@ -5,15 +5,17 @@
 from pathlib import Path
 from random import Random
 from signal import SIGHUP, SIGINT, SIGTERM
-from sys import stderr, stdout
+from sys import stderr
 from time import time
 from typing import Final
 
+from eliot import add_destinations
 from returns.result import Failure, Success
 
 from bergamotshunt.daemon import EXIT_FAILED, EXIT_OK, MS_PER_S, create_runner
 from bergamotshunt.kernel import MESH_PLUGINS, Context, Kernel, Post
-from bergamotshunt.log import configure_log, log_event
+from bergamotshunt.log import log_event
+from bergamotshunt.log_pipe import PipeDestination
 from bergamotshunt.mesh_messages import StopAnnounced
 from bergamotshunt.mesh_settings import MeshSettings
 from bergamotshunt.platform.boot import FILE_VARIABLE, decode_settings
@@ -21,6 +23,7 @@
 from bergamotshunt.settings import DaemonSettings, Settings
 
 EXIT_BAD_INPUT: Final = 2
+STANDARD_OUTPUT: Final = 1
 # Work that still runs this long before SIGKILL is given up.
 STOP_MARGIN_S: Final = 0.6
 
@@ -37,7 +40,7 @@
         return EXIT_BAD_INPUT
     match decode_settings(Path(path).read_text(encoding='utf-8')):
         case Success(settings):
-            configure_log('info', stdout)
+            add_destinations(PipeDestination(STANDARD_OUTPUT))
             with create_runner() as runner:
                 return runner.run(_run_until_signal(settings))
         case Failure(errors):
--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -104,3 +104,11 @@
 
 class StopAnnounced(NamedTuple):
     """The daemon was told to stop; peers should choose others."""
+
+
+class DescribeCounts(NamedTuple):
+    """Question to all tasks: what did you count?"""
+
+
+class DescribeBeliefs(NamedTuple):
+    """Question to all tasks: what do you believe, and since when?"""
--- a/bergamotshunt/mesh_task.py
+++ b/bergamotshunt/mesh_task.py
@@ -1,11 +1,28 @@
 """Base of the tasks of a daemon in a mesh."""
 
-from bergamotshunt.kernel import Context, Task
+from typing import Any
+
+from bergamotshunt.counts import Counts, Snapshot
+from bergamotshunt.kernel import Context, HandlerTable, Task
+from bergamotshunt.mesh_messages import DescribeBeliefs, DescribeCounts
 from bergamotshunt.mesh_settings import MeshSettings
 
 
 class MeshTask(Task):
-    """A task that knows the settings of its daemon's place in the mesh."""
+    """A task that knows its place in the mesh and counts what it does.
+
+    Attributes:
+        mesh: Settings of the daemon.
+        counts: Series of this task.
+    """
+
+    def __init_subclass__(cls) -> None:
+        """Give each kind of task the handlers that all of them have."""
+        super().__init_subclass__()
+        if 'handlers' not in cls.__dict__:
+            cls.handlers = HandlerTable()
+        cls.handlers.on(DescribeCounts)(cls.describe_counts)
+        cls.handlers.on(DescribeBeliefs)(cls.describe_beliefs)
 
     def __init__(self, context: Context) -> None:
         """Create the task.
@@ -17,3 +34,16 @@
         if context.mesh is None:
             raise ValueError('the daemon has no settings of a mesh')
         self.mesh: MeshSettings = context.mesh
+        self.counts = Counts()
+
+    def describe_counts(self, _message: DescribeCounts) -> Snapshot:
+        """Return the series of this task."""
+        self.note_gauges()
+        return self.counts.snapshot()
+
+    def describe_beliefs(self, _message: DescribeBeliefs) -> dict[str, Any]:
+        """Return what the task believes, by name; empty for most tasks."""
+        return {}
+
+    def note_gauges(self) -> None:
+        """Bring gauges up to date before they are read."""
--- a/bergamotshunt/peer_attempts.py
+++ b/bergamotshunt/peer_attempts.py
@@ -40,6 +40,7 @@
         whole: Whether these are all bytes of the body.
         result: What the other daemon said.
         connection: Where the rest of the body comes from.
+        again_ms: When a slot is expected to be free; 0 when unknown.
     """
 
     verdict: Verdict
@@ -49,6 +50,7 @@
     whole: bool = True
     result: PeerResult | None = None
     connection: ClientConnection | None = None
+    again_ms: float = 0
 
     @property
     def size_kib(self) -> float:
@@ -128,7 +130,12 @@
     if whole:
         record.pool.put_back(connection)
     if result.verdict is not Verdict.RAN:
-        return Outcome(result.verdict, result.reason, result=result)
+        return Outcome(
+            result.verdict,
+            result.reason,
+            result=result,
+            again_ms=result.again_ms,
+        )
     return Outcome(
         Verdict.RAN,
         answer=answer,
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -1,12 +1,13 @@
 """Membership: the own server's entry under a lease, and all others."""
 
 from asyncio import Event, sleep, wait_for
-from typing import Final
+from typing import Any, Final
 
 from bergamotshunt.decisions.fleet import Fleet
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.log import log_event
 from bergamotshunt.mesh_messages import (
+    DescribeBeliefs,
     EntryHeard,
     OwnServerChanged,
     ServersChanged,
@@ -103,6 +104,24 @@
         self._stopping = own is None or own.state is ServerState.LEAVING
         self._changed.set()
 
+    def note_gauges(self) -> None:
+        """Bring the state of the lease up to date."""
+        age_s = self.context.clock() - self._renewed_s
+        self.counts.note('lease_age_seconds', age_s)
+        self.counts.note('store_connected', float(self._connected))
+        self.counts.note('membership_store_calls', self._store.calls)
+
+    def describe_beliefs(self, _message: DescribeBeliefs) -> dict[str, Any]:
+        """Return the state of the store and of the own entry."""
+        return {
+            'store': {
+                'connected': self._connected,
+                'lease': self._lease,
+                'lease_age_s': round(self.context.clock() - self._renewed_s, 1),
+                'entry_written': self._written is not None,
+            },
+        }
+
     # The own entry
 
     async def _keep_announced(self) -> None:
--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -2,7 +2,7 @@
 
 from asyncio import sleep, timeout
 from http import HTTPStatus
-from typing import Final
+from typing import Any, Final
 
 from bergamotshunt.decisions.slots import ServerGauge, slot_limit
 from bergamotshunt.http.bodies import BodyCutError
@@ -17,6 +17,7 @@
 from bergamotshunt.loads import Load, is_news
 from bergamotshunt.log import log_event
 from bergamotshunt.mesh_messages import (
+    DescribeBeliefs,
     OwnLoadChanged,
     OwnServerChanged,
     RoutingChanged,
@@ -40,6 +41,7 @@
     client_headers,
     read_server_answer,
 )
+from bergamotshunt.request_log import RequestLog
 from bergamotshunt.routing import Routing, ServerEntry, ServerState
 from bergamotshunt.server_requests import SMALL_BODY_BYTES, ServerRequests
 from bergamotshunt.slot_turns import Refusal, RefusedError, SlotTurns
@@ -83,6 +85,7 @@
         self._down = False
         self._stopping = False
         self._told = Load()
+        self._log = RequestLog(context.clock)
 
     async def open(self) -> None:
         """Listen."""
@@ -133,6 +136,22 @@
         if self._entry is None:
             self._stored = message.entry
 
+    def note_gauges(self) -> None:
+        """Bring the load of the server up to date."""
+        load = self._load()
+        self.counts.note('server_running', load.running)
+        self.counts.note('server_waiting', load.waiting)
+        self.counts.note('server_limit', load.limit)
+        self.counts.note('server_pace', load.pace)
+        self.counts.note('server_serving', float(load.serving))
+
+    def describe_beliefs(self, _message: DescribeBeliefs) -> dict[str, Any]:
+        """Return what is believed of the own server."""
+        return {
+            'own_server': self._entry._asdict() if self._entry else None,
+            'own_load': self._load()._asdict(),
+        }
+
     # Requests of peers
 
     async def _serve(self, exchange: Exchange) -> None:
@@ -144,10 +163,20 @@
         if call is None:
             exchange.answer(HTTPStatus.BAD_REQUEST, [])
             return
+        self.counts.add('peer_requests')
         deadline_ms = self.now_ms() + call.left_ms
         try:
             await self._run_in_turn(exchange, call, deadline_ms)
         except RefusedError as error:
+            self._log.note(
+                'inbound:refused',
+                failed=True,
+                request_id=call.request_id,
+                instance=call.instance,
+                reason=error.refusal.reason,
+                again_ms=round(error.refusal.again_ms),
+                **self._load()._asdict(),
+            )
             self._refuse(exchange, error.refusal)
 
     def _show_configuration(self, exchange: Exchange) -> None:
@@ -163,7 +192,9 @@
         deadline_ms: float,
     ) -> None:
         self._check(call)
+        arrived_ms = self.now_ms()
         await self._turns.take(call)
+        self.counts.observe('queue', self.now_ms() - arrived_ms)
         self.post.publish(RunBegan(call.request_id))
         try:
             await self._run(exchange, call, deadline_ms)
@@ -181,6 +212,7 @@
             raise RefusedError(Refusal('server-down'))
 
     def _refuse(self, exchange: Exchange, refusal: Refusal) -> None:
+        self.counts.add('peer_requests_refused', reason=refusal.reason)
         self._answer_without_server(
             exchange,
             HTTPStatus.SERVICE_UNAVAILABLE,
@@ -216,6 +248,7 @@
             await self._exchange(connection, exchange, call, deadline_ms)
         except (AnswerLostError, BodyCutError, TimeoutError) as error:
             connection.close()
+            self.counts.add('server_answers_lost')
             log_event(
                 'inbound:answer-lost',
                 request_id=call.request_id,
@@ -254,6 +287,16 @@
             )
             limit.reschedule(None)
             await self._relay(exchange, answer, sent_ms)
+        self._log.note(
+            'inbound:ran',
+            failed=answer.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR,
+            request_id=call.request_id,
+            instance=call.instance,
+            status=answer.head.status,
+            left_ms=round(left_ms),
+            took_ms=round(self.now_ms() - sent_ms),
+            pace=self._gauge.pace,
+        )
 
     async def _relay(
         self,
@@ -268,6 +311,7 @@
             self._refuse(exchange, self._read_refusal(said))
             return
         took_ms = self.now_ms() - sent_ms
+        self.counts.observe('server', took_ms)
         self._gauge.note_answer(took_ms, said.pace, self.now_ms())
         if head.status < HTTPStatus.MULTIPLE_CHOICES and not said.signed:
             raise AnswerLostError('a success without a signature')
@@ -341,6 +385,7 @@
         rules = self._routing.services_by_name.get(entry.service)
         if rules is None:
             return
+        self.counts.add('server_probes')
         try:
             async with timeout(PROBE_TIMEOUT_S):
                 said = await self._requests.probe(rules.health_path)
--- /dev/null
+++ b/bergamotshunt/plugins/mesh/metrics.py
@@ -0,0 +1,63 @@
+"""Shows the metrics of all tasks, and what the daemon believes."""
+
+from http import HTTPStatus
+from importlib import import_module
+from typing import Final
+
+from msgspec.json import encode
+
+from bergamotshunt.http.heads import Header
+from bergamotshunt.http.serving import Exchange, Listener
+from bergamotshunt.kernel import MESH_PLUGINS, Context
+from bergamotshunt.mesh_messages import DescribeBeliefs, DescribeCounts
+from bergamotshunt.mesh_task import MeshTask
+
+METRICS_PATH: Final = b'/metrics'
+STATUS_PATH: Final = b'/status'
+TEXT: Final[Header] = (b'Content-Type', b'text/plain; version=0.0.4')
+JSON: Final[Header] = (b'Content-Type', b'application/json')
+
+
+class MetricsTask(MeshTask):
+    """Answers on the metrics address."""
+
+    name = 'metrics'
+
+    def __init__(self, context: Context) -> None:
+        """Create the task without a socket."""
+        super().__init__(context)
+        self._listener = Listener(self._serve)
+
+    async def open(self) -> None:
+        """Listen."""
+        await self._listener.open(self.mesh.metrics.ip, self.mesh.metrics.port)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._listener.close()
+        await super().close()
+
+    async def _serve(self, exchange: Exchange) -> None:
+        match exchange.head.target:
+            case b'/metrics':
+                snapshots = await self.post.ask_all(DescribeCounts())
+                # Imported late: it costs over 5 MB of memory.
+                module = import_module('bergamotshunt.metrics_text')
+                text: bytes = module.create_metrics_text(snapshots)
+                exchange.answer(HTTPStatus.OK, [TEXT], text)
+            case b'/status':
+                beliefs = await self.post.ask_all(DescribeBeliefs())
+                merged = {
+                    name: belief
+                    for part in beliefs
+                    for name, belief in part.items()
+                }
+                exchange.answer(HTTPStatus.OK, [JSON], encode(merged))
+            case _:
+                exchange.answer(HTTPStatus.NOT_FOUND, [])
+
+
+@MESH_PLUGINS.register('metrics')
+def create_metrics(context: Context) -> MetricsTask:
+    """Create the task."""
+    return MetricsTask(context)
--- a/bergamotshunt/plugins/mesh/outbound.py
+++ b/bergamotshunt/plugins/mesh/outbound.py
@@ -3,7 +3,7 @@
 from asyncio import sleep
 from collections import Counter
 from http import HTTPStatus
-from typing import Final
+from typing import Any, Final
 
 from bergamotshunt.carried_requests import CarriedRequest
 from bergamotshunt.carrying import Carrier
@@ -13,6 +13,7 @@
 from bergamotshunt.http.serving import Exchange, Listener, ServingLimits
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.mesh_messages import (
+    DescribeBeliefs,
     LoadHeard,
     RoutingChanged,
     RunBegan,
@@ -21,7 +22,12 @@
     ServiceUsed,
 )
 from bergamotshunt.mesh_task import MeshTask
-from bergamotshunt.platform.requests import parent_id, read_client_call
+from bergamotshunt.platform.requests import (
+    ClientCall,
+    parent_id,
+    read_client_call,
+)
+from bergamotshunt.request_log import RequestLog
 from bergamotshunt.routing import Routing
 from bergamotshunt.server_records import ServerRecords
 
@@ -30,6 +36,11 @@
 # comes later could not be finished before the process is killed.
 LAST_REQUESTS_S: Final = 2.8
 DRAIN_CHECK_S: Final = 0.05
+REASONS_BY_STATUS: Final = {
+    HTTPStatus.BAD_REQUEST: 'no host or no request id',
+    HTTPStatus.SERVICE_UNAVAILABLE: 'no configuration yet, or stopping',
+    HTTPStatus.NOT_FOUND: 'no route',
+}
 
 
 class OutboundTask(MeshTask):
@@ -48,6 +59,7 @@
         self._routing: Routing | None = None
         self._refusing = False
         self._runs_here: Counter[str] = Counter()
+        self._log = RequestLog(context.clock)
         self._used_services: set[str] = set()
         bound = ExtraBound(
             bounds.retry_ratio,
@@ -60,6 +72,7 @@
                 bound,
                 context.rng,
                 self._count_daemons,
+                self.counts,
             ),
         )
 
@@ -120,6 +133,16 @@
         if not self._runs_here[message.request_id]:
             self._runs_here.pop(message.request_id)
 
+    def note_gauges(self) -> None:
+        """Bring the numbers of servers and connections up to date."""
+        self.counts.note('servers_known', len(self._records.by_instance))
+        self.counts.note('client_connections', len(self._listener.connections))
+        self.counts.note('client_requests_running', self._listener.running)
+
+    def describe_beliefs(self, _message: DescribeBeliefs) -> dict[str, Any]:
+        """Return what is believed of the servers."""
+        return {'servers': self._records.describe(self.context.clock())}
+
     def _depth(self, request_id: str) -> int:
         """Return how many requests wait for the answer to this one."""
         parent = parent_id(request_id)
@@ -133,15 +156,15 @@
     async def _serve(self, exchange: Exchange) -> None:
         call = read_client_call(exchange.head)
         if not call.host or not call.request_id:
-            exchange.answer(HTTPStatus.BAD_REQUEST, [])
+            self._turn_away(exchange, call, HTTPStatus.BAD_REQUEST)
             return
         routing = self._routing
         if routing is None or self._refusing:
-            exchange.answer(HTTPStatus.SERVICE_UNAVAILABLE, [])
+            self._turn_away(exchange, call, HTTPStatus.SERVICE_UNAVAILABLE)
             return
         route = match_route(routing, call.host, call.path)
         if route is None:
-            exchange.answer(HTTPStatus.NOT_FOUND, [])
+            self._turn_away(exchange, call, HTTPStatus.NOT_FOUND)
             return
         service = self._splits.choose(route.parts)
         if service not in self._used_services:
@@ -161,6 +184,25 @@
         )
         await self._carrier.carry(request)
 
+    def _turn_away(
+        self,
+        exchange: Exchange,
+        call: ClientCall,
+        status: HTTPStatus,
+    ) -> None:
+        self.counts.add('requests_turned_away', status=str(status.value))
+        self._log.note(
+            'outbound:turned-away',
+            failed=True,
+            request_id=call.request_id,
+            host=call.host,
+            path=call.path,
+            status=status.value,
+            reason=REASONS_BY_STATUS[status],
+            version=self._routing.version if self._routing else 0,
+        )
+        exchange.answer(status, [])
+
 
 @MESH_PLUGINS.register('outbound')
 def create_outbound(context: Context) -> OutboundTask:
--- a/bergamotshunt/plugins/mesh/routes.py
+++ b/bergamotshunt/plugins/mesh/routes.py
@@ -2,13 +2,17 @@
 
 from asyncio import sleep, timeout
 from http import HTTPStatus
-from typing import Final
+from typing import Any, Final
 
 from bergamotshunt.http.calling import ClientPool
 from bergamotshunt.http.heads import write_request
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.log import log_event
-from bergamotshunt.mesh_messages import RoutingChanged, VersionHeard
+from bergamotshunt.mesh_messages import (
+    DescribeBeliefs,
+    RoutingChanged,
+    VersionHeard,
+)
 from bergamotshunt.mesh_task import MeshTask
 from bergamotshunt.peer_calls import CONFIGURATION_PATH
 from bergamotshunt.platform.configuration import (
@@ -43,6 +47,7 @@
         super().__init__(context)
         self._store = StoreClient(self.mesh.store)
         self._version = 0
+        self._changed_s = self.context.clock()
         self._wanted = 0
         self._fetching = False
 
@@ -69,6 +74,24 @@
         finally:
             self._fetching = False
 
+    def note_gauges(self) -> None:
+        """Bring version and age of the configuration up to date."""
+        age_s = self.context.clock() - self._changed_s
+        self.counts.note('configuration_version', self._version)
+        self.counts.note('configuration_age_seconds', age_s)
+        self.counts.note('configuration_store_calls', self._store.calls)
+
+    def describe_beliefs(self, _message: DescribeBeliefs) -> dict[str, Any]:
+        """Return which configuration is in force, and since when."""
+        age_s = self.context.clock() - self._changed_s
+        return {
+            'configuration': {
+                'version': self._version,
+                'age_s': round(age_s, 1),
+                'wanted': self._wanted,
+            },
+        }
+
     async def _keep_watching(self) -> None:
         revision: int | None = None
         while True:
@@ -109,6 +132,8 @@
             source=source,
         )
         self._version = routing.version
+        self._changed_s = self.context.clock()
+        self.counts.add('configurations_applied')
         self.post.publish(RoutingChanged(routing))
 
     async def _fetch(self, ip: str) -> None:
--- a/bergamotshunt/server_records.py
+++ b/bergamotshunt/server_records.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Callable, Collection
 from math import exp, inf
-from typing import Final
+from typing import Any, Final
 
 from bergamotshunt.decisions.moving import WorkClock
 from bergamotshunt.decisions.placement import ServerView, UsualWork
@@ -192,6 +192,21 @@
             known.answer_kib + (answer_kib - known.answer_kib) * USUAL_WEIGHT,
         )
 
+    def describe(self, now_s: float) -> list[dict[str, Any]]:
+        """Return what is believed of each server, with the age of it."""
+        return [
+            record.view(now_s)._asdict()
+            | {
+                'service': record.entry.service,
+                'ip': record.entry.ip,
+                'state': record.entry.state.value,
+                'load': record.load._asdict(),
+                'running': record.running,
+                'usable': record.is_usable(now_s),
+            }
+            for record in self.by_instance.values()
+        ]
+
     def close(self) -> None:
         """Close all connections."""
         for record in self.by_instance.values():
--- a/bergamotshunt/tests/test_mesh_path.py
+++ b/bergamotshunt/tests/test_mesh_path.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from msgspec.json import decode
+
 from bergamotshunt.platform.names import CALLER_SERVICE, TIMEOUT_MS
 from bergamotshunt.tests.mesh import BOOK, READ, Mesh, call, configuration
 from standins.mesh_server import (
@@ -235,3 +237,22 @@
             assert server.runs == [b'parent', b'parent.1', b'other']
 
     asyncio.run(walk())
+
+
+def test_metrics_and_beliefs_are_shown() -> None:
+    """Guards against a daemon whose state cannot be seen."""
+
+    async def walk() -> None:
+        async with Mesh([answer_whole, answer_error]) as mesh:
+            await mesh.ask(0, '/read/1', 'r1')
+            address = mesh.places[0].settings.metrics
+            text = (await call(address, b'GET', '/metrics')).content.decode()
+            assert 'bergamotshunt_attempts_total' in text
+            assert 'bergamotshunt_request_seconds_bucket' in text
+            assert 'bergamotshunt_configuration_version 1.0' in text
+            status = decode((await call(address, b'GET', '/status')).content)
+            assert status['configuration']['version'] == 1
+            assert len(status['servers']) == 2
+            assert status['own_server']['instance'] == 'i-0'
+
+    asyncio.run(walk())
