--- a/bergamotshunt/metrics_text.py
+++ b/bergamotshunt/metrics_text.py
@@ -1,7 +1,7 @@
 """Metrics as text, from the counts of all tasks."""
 
 from collections import defaultdict
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from itertools import accumulate
 from typing import Final
 
@@ -20,6 +20,9 @@
 BOUNDS_S: Final = (*(str(bound / MS_PER_S) for bound in BUCKETS_MS), '+Inf')
 
 
+FigureFamily = type[CounterMetricFamily] | type[GaugeMetricFamily]
+
+
 class CountsCollector:
     """Gives the counts of tasks to prometheus_client."""
 
@@ -30,8 +33,8 @@
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics."""
         for snapshot in self._snapshots:
-            yield from _collect_counters(snapshot)
-            yield from _collect_gauges(snapshot)
+            yield from _collect_figures(CounterMetricFamily, snapshot.counters)
+            yield from _collect_figures(GaugeMetricFamily, snapshot.gauges)
             yield from _collect_histograms(snapshot)
 
 
@@ -57,27 +60,18 @@
     return [text for _, text in series.labels]
 
 
-def _collect_counters(snapshot: Snapshot) -> Iterator[Metric]:
-    for name, group in _by_name(iter(snapshot.counters)).items():
-        family = CounterMetricFamily(
-            PREFIX + name,
-            name.replace('_', ' '),
-            labels=_names(group[0]),
-        )
-        for series in group:
-            family.add_metric(_texts(series), snapshot.counters[series])
-        yield family
-
-
-def _collect_gauges(snapshot: Snapshot) -> Iterator[Metric]:
-    for name, group in _by_name(iter(snapshot.gauges)).items():
-        family = GaugeMetricFamily(
+def _collect_figures(
+    family_type: FigureFamily,
+    figures: Mapping[Series, float],
+) -> Iterator[Metric]:
+    for name, group in _by_name(iter(figures)).items():
+        family = family_type(
             PREFIX + name,
             name.replace('_', ' '),
             labels=_names(group[0]),
         )
         for series in group:
-            family.add_metric(_texts(series), snapshot.gauges[series])
+            family.add_metric(_texts(series), figures[series])
         yield family
 
 
--- a/bergamotshunt/tests/mesh.py
+++ b/bergamotshunt/tests/mesh.py
@@ -5,6 +5,7 @@
 import socket
 from base64 import b64encode
 from collections.abc import Callable
+from contextlib import ExitStack
 from typing import Any, NamedTuple
 
 from msgspec.json import encode
@@ -43,10 +44,14 @@
     server: MeshServer
 
 
-def free_port(ip: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return int(probe.getsockname()[1])
+def free_ports(ip: str, count: int) -> list[int]:
+    """Return different ports; each stays taken until all are chosen."""
+    with ExitStack() as probes:
+        taken = [
+            probes.enter_context(socket.create_server((ip, 0)))
+            for _ in range(count)
+        ]
+        return [probe.getsockname()[1] for probe in taken]
 
 
 def configuration(version: int, *routes: dict[str, Any]) -> str:
@@ -97,7 +102,7 @@
     async def __aenter__(self) -> 'Mesh':
         await self.store.open()
         await self.store.put('op/config', configuration(1, READ, BOOK))
-        port = free_port(f'{NET}.11')
+        (port,) = free_ports(f'{NET}.11', 1)
         for number, behaviour in enumerate(self._behaviours):
             await self._add(number, behaviour, port)
         for number in range(len(self.places)):
@@ -115,18 +120,19 @@
         ip = f'{NET}.{number + 11}'
         server = MeshServer(f'i-{number}', behaviour)
         await server.open(ip)
+        outbound, inbound, control, ready, metrics = free_ports(ip, 5)
         settings = MeshSettings(
             daemon_id=f'daemon-{number}',
             ip=ip,
             zone='zone-1',
             service='shop',
             server=Address(ip, server.port),
-            outbound=Address(ip, free_port(ip)),
-            inbound=Address(ip, free_port(ip)),
-            control=Address(ip, free_port(ip)),
-            ready=Address(ip, free_port(ip)),
+            outbound=Address(ip, outbound),
+            inbound=Address(ip, inbound),
+            control=Address(ip, control),
+            ready=Address(ip, ready),
             datagram_port=port,
-            metrics=Address(ip, free_port(ip)),
+            metrics=Address(ip, metrics),
             store=Address('127.0.0.1', self.store.port),
             bounds=Bounds(retry_ratio=0.2, retry_slack=400, retry_window_s=0.5),
         )
