Remove code of the mesh that nothing calls

Cause: the last read of the change found a method, two constants and a counter without a caller (ServerRecord.heard_within, two paths in the metrics task, ClientConnection.used).

Change: they are gone; behaviour is the same.

--- a/bergamotshunt/http/calling.py
+++ b/bergamotshunt/http/calling.py
@@ -49,14 +49,12 @@
     """A connection to a server, for one request at a time.
 
     Attributes:
-        used: Requests that were sent on it.
         idle_since_s: Time of the loop at which it was put back.
         idle_limit_s: How long it may be kept without a request.
     """
 
     def __init__(self) -> None:
         """Create a connection that is not made yet."""
-        self.used = 0
         self.idle_since_s: float = 0
         self.idle_limit_s = DEFAULT_IDLE_S
         self._transport: Transport | None = None
@@ -222,7 +220,6 @@
         """
         if self._transport is None or self._transport.is_closing():
             raise NotSentError('the connection has ended')
-        self.used += 1
         self._is_expected = is_expected
         self._sent_whole = whole
         self._is_head_request = bodyless
--- a/bergamotshunt/plugins/mesh/metrics.py
+++ b/bergamotshunt/plugins/mesh/metrics.py
@@ -13,8 +13,6 @@
 from bergamotshunt.mesh_messages import DescribeBeliefs, DescribeCounts
 from bergamotshunt.mesh_task import MeshTask
 
-METRICS_PATH: Final = b'/metrics'
-STATUS_PATH: Final = b'/status'
 TEXT: Final[Header] = (b'Content-Type', b'text/plain; version=0.0.4')
 JSON: Final[Header] = (b'Content-Type', b'application/json')
 
--- a/bergamotshunt/server_records.py
+++ b/bergamotshunt/server_records.py
@@ -92,10 +92,6 @@
         age_s = now_s - self._fault_s
         return self._fault_share * exp(-age_s / FAULT_MEMORY_S)
 
-    def heard_within(self, now_s: float, span_s: float) -> bool:
-        """Tell whether a report came within a time."""
-        return now_s - self._heard_s < span_s and self._heard_s is not inf
-
     def is_usable(self, now_s: float) -> bool:
         """Tell whether the server may get a request."""
         return (
