--- /dev/null
+++ b/bergamotshunt/tests/test_mesh_boundary.py
@@ -0,0 +1,43 @@
+"""Names of the platform stay in the adapter."""
+
+from pathlib import Path
+
+import bergamotshunt
+
+NAMES = (
+    'x-bergamotshunt-',
+    "'/-/",
+    'kv-',
+    'op/config',
+    'entry_kind',
+    'traffic_split',
+    'cold_left_ms',
+    'latency_goal_ms',
+    'heartbeat_addr',
+    'tombstone',
+    'bergamotshunt_boot',
+    'app_addr',
+)
+ROOT = Path(bergamotshunt.__file__).parent
+
+
+def test_names_of_the_platform_stay_in_the_adapter() -> None:
+    """Guards against names on the wire that spread through the product."""
+    found = [
+        f'{path.relative_to(ROOT)}: {name}'
+        for path in ROOT.rglob('*.py')
+        if not {'platform', 'tests'} & set(path.relative_to(ROOT).parts)
+        for name in NAMES
+        if name in path.read_text(encoding='utf-8').lower()
+    ]
+    assert found == []
+
+
+def test_adapter_speaks_all_of_them() -> None:
+    """Guards against a search for names that nobody uses any more."""
+    spoken = '\n'.join(
+        path.read_text(encoding='utf-8').lower()
+        for path in (ROOT / 'platform').glob('*.py')
+    )
+    missing = [name for name in NAMES if name not in spoken]
+    assert missing in ([], ['heartbeat_addr'])
