Ask pending watches again after a silence of the store

Cause: a store that falls silent never answers the watches that it had accepted, and their connections stay open. The tasks waited for the timeout of 20 s, all daemons the same way, so no peer knew a newer version either. An ended lease was found with one call, the conflict of the old revision with the next, each followed by the retry delay.

Change: the renewals of the lease tell when the store answers again (decisions/store_contact.py, pure); a watch that was asked before the first answered call is asked again from its revision, and so is one that misses a version a peer has. One StoreWatch serves configuration and entries. The next attempt follows an ended lease and a conflict at once, and the retry delay counts from the start of the failed call. Costs no call at rest and two calls a daemon after an outage. Gauges: watches abandoned, age of the last answer.

--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from bergamotshunt.backend.loads import InstanceLoadReport, Load
+from bergamotshunt.decisions.store_contact import StoreContact
 from bergamotshunt.routing import Routing, ServerEntry
 
 
@@ -125,6 +126,16 @@
     ip: str
 
 
+class StoreContactChanged(NamedTuple):
+    """Calls to the store are answered again after a failure.
+
+    Attributes:
+        contact: What the calls of this daemon tell of the store.
+    """
+
+    contact: StoreContact
+
+
 class StopRequested(NamedTuple):
     """The daemon was asked to stop and starts to drain."""
 
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -4,6 +4,7 @@
 from typing import Any, Final
 
 from bergamotshunt.decisions.known_servers import KnownServers
+from bergamotshunt.decisions.store_contact import StoreContact, record_call
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.log import log_event
 from bergamotshunt.mesh_messages import (
@@ -13,6 +14,7 @@
     ServersChanged,
     SlotShareEstimated,
     StopRequested,
+    StoreContactChanged,
     StoredServerFound,
 )
 from bergamotshunt.mesh_task import MeshTask
@@ -22,12 +24,7 @@
     decode_entry,
     entry_key,
 )
-from bergamotshunt.platform.store import (
-    HistoryGoneError,
-    Item,
-    StoreClient,
-    StoreError,
-)
+from bergamotshunt.platform.store import Item, StoreClient, StoreError
 from bergamotshunt.routing import AnnouncedState, ServerEntry
 from bergamotshunt.store.own_entry import (
     LEASE_MS,
@@ -35,10 +32,21 @@
     OwnEntry,
     is_changed,
 )
+from bergamotshunt.store.store_watch import (
+    RETRY_JITTER,
+    StoreWatch,
+    WatchObserver,
+    WatchTiming,
+)
 
 RETRY_DELAY_S: Final = 0.6
-WATCH_BATCH_DELAY_S: Final = 0.5
-WATCH_TIMEOUT_MS: Final = 20_000
+# After a call that waited for its timeout; the entry of a server whose lease
+# has expired is missing until the next call.
+MIN_RETRY_DELAY_S: Final = 0.2
+WATCH_TIMING: Final = WatchTiming(
+    retry_delay_s=RETRY_DELAY_S,
+    batch_delay_s=0.5,
+)
 EXPIRY_INTERVAL_S: Final = 0.5
 
 
@@ -62,6 +70,19 @@
             max(LEASE_MS, self.mesh.min_lease_ms),
             context.clock,
         )
+        self._watch = StoreWatch(
+            self._store,
+            ENTRY_KEY_PREFIX,
+            WatchObserver(
+                self._apply_listing,
+                self._apply_changes,
+                self._set_store_state,
+            ),
+            WATCH_TIMING,
+            context.clock,
+            context.rng,
+        )
+        self._contact = StoreContact()
         self._entry_changed = Event()
         self._revoking = False
         self._connected = True
@@ -69,7 +90,7 @@
     async def start(self) -> None:
         """Start to write this server's entry and to watch and expire all."""
         self.spawn(self._run_own_entry())
-        self.spawn(self._run_watch())
+        self.spawn(self._watch.run())
         self.spawn(self._run_expiry())
 
     async def close(self) -> None:
@@ -120,6 +141,13 @@
         self.metrics.set_gauge('lease_age_seconds', age_s)
         self.metrics.set_gauge('store_connected', float(self._connected))
         self.metrics.set_gauge('membership_store_calls', self._store.calls)
+        self.metrics.set_gauge(
+            'membership_watches_abandoned', self._watch.abandoned
+        )
+        self.metrics.set_gauge(
+            'membership_watch_age_seconds',
+            self.context.clock() - self._watch.answered_s,
+        )
 
     def describe_state(self, _message: DescribeState) -> dict[str, Any]:
         """Return the state of the store and of this server's entry."""
@@ -137,20 +165,48 @@
 
     async def _run_own_entry(self) -> None:
         while True:
-            wait_s = RENEW_INTERVAL_S
-            try:
-                await self._update_own_entry()
-            except StoreError as error:
-                self._set_store_state(error)
-                wait_s = RETRY_DELAY_S * self.context.rng.uniform(0.7, 1.3)
-            else:
-                self._set_store_state(None)
+            wait_s = await self._renew_own_entry()
             try:
                 await wait_for(self._entry_changed.wait(), wait_s)
             except TimeoutError:
                 continue
             self._entry_changed.clear()
 
+    async def _renew_own_entry(self) -> float:
+        """Renew the lease and write the entry.
+
+        Returns:
+            The time until the next renewal, in seconds.
+        """
+        started_s = self.context.clock()
+        renewed_s = self._own_entry.renewed_s
+        try:
+            await self._update_own_entry()
+        except StoreError as error:
+            self._set_store_state(error)
+            self._record_call(started_s, failed=True)
+            return self._retry_delay_s(started_s)
+        self._set_store_state(None)
+        if self._own_entry.renewed_s > renewed_s:
+            self._record_call(self._own_entry.renewed_s, failed=False)
+        return RENEW_INTERVAL_S
+
+    def _retry_delay_s(self, started_s: float) -> float:
+        """Return the delay after a failed call that started at a time."""
+        took_s = self.context.clock() - started_s
+        delay_s = max(RETRY_DELAY_S - took_s, MIN_RETRY_DELAY_S)
+        return delay_s * self.context.rng.uniform(*RETRY_JITTER)
+
+    def _record_call(self, sent_s: float, *, failed: bool) -> None:
+        """Record a renewal of the lease; watches may have to be asked again."""
+        before = self._contact
+        self._contact = record_call(
+            before, sent_s, self.context.clock(), failed=failed
+        )
+        if self._contact.recovered_s > before.recovered_s:
+            self._watch.update_contact(self._contact)
+            self.bus.publish(StoreContactChanged(self._contact))
+
     async def _update_own_entry(self) -> None:
         if self._revoking:
             await self._own_entry.revoke()
@@ -159,37 +215,18 @@
 
     # Entries of all servers
 
-    async def _run_watch(self) -> None:
-        revision: int | None = None
-        while True:
-            try:
-                revision = await self._watch(revision)
-            except HistoryGoneError:
-                revision = None
-            except StoreError as error:
-                self._set_store_state(error)
-                await sleep(RETRY_DELAY_S * self.context.rng.uniform(0.7, 1.3))
-            else:
-                # Batches changes that follow each other into one call.
-                await sleep(WATCH_BATCH_DELAY_S)
-
-    async def _watch(self, revision: int | None) -> int:
-        clock = self.context.clock
-        if revision is None:
-            listing = await self._store.list_items(ENTRY_KEY_PREFIX)
-            decoded = map(self._decode, listing.items)
-            entries = [entry for entry in decoded if entry is not None]
-            self._known_servers.apply_listing(entries, clock())
-            self._publish_stored_own(entries)
-            self._own_entry.apply_listing(listing.items)
-        else:
-            listing = await self._store.watch(
-                ENTRY_KEY_PREFIX, revision, WATCH_TIMEOUT_MS
-            )
-            for item in listing.items:
-                self._apply_change(item)
+    def _apply_listing(self, items: tuple[Item, ...]) -> None:
+        decoded = map(self._decode, items)
+        entries = [entry for entry in decoded if entry is not None]
+        self._known_servers.apply_listing(entries, self.context.clock())
+        self._publish_stored_own(entries)
+        self._own_entry.apply_listing(items)
+        self._publish()
+
+    def _apply_changes(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            self._apply_change(item)
         self._publish()
-        return listing.revision
 
     def _publish_stored_own(self, entries: list[ServerEntry]) -> None:
         """Publish this host's entry that an earlier process wrote.
--- a/bergamotshunt/plugins/mesh/routes.py
+++ b/bergamotshunt/plugins/mesh/routes.py
@@ -12,6 +12,7 @@
     DescribeState,
     PeerVersionReceived,
     RoutingChanged,
+    StoreContactChanged,
 )
 from bergamotshunt.mesh_task import MeshTask
 from bergamotshunt.peers.peer_calls import CONFIGURATION_PATH
@@ -20,16 +21,14 @@
     ConfigurationError,
     decode_configuration,
 )
-from bergamotshunt.platform.store import (
-    HistoryGoneError,
-    Item,
-    StoreClient,
-    StoreError,
+from bergamotshunt.platform.store import Item, StoreClient, StoreError
+from bergamotshunt.store.store_watch import (
+    StoreWatch,
+    WatchObserver,
+    WatchTiming,
 )
 
-WATCH_TIMEOUT_MS: Final = 20_000
-RETRY_DELAY_S: Final = 0.4
-WATCH_BATCH_DELAY_S: Final = 0.2
+WATCH_TIMING: Final = WatchTiming(retry_delay_s=0.4, batch_delay_s=0.2)
 # The watch of the store usually delivers a new version within this time, so
 # that the daemon need not fetch it from a peer.
 PEER_FETCH_DELAY_S: Final = 0.15
@@ -47,6 +46,16 @@
         """Create the task of a daemon without a configuration."""
         super().__init__(context)
         self._store = StoreClient(self.mesh.store)
+        self._watch = StoreWatch(
+            self._store,
+            CONFIGURATION_KEY,
+            WatchObserver(
+                self._apply_items, self._apply_items, self._log_failure
+            ),
+            WATCH_TIMING,
+            context.clock,
+            context.rng,
+        )
         self._version = 0
         self._applied_s = self.context.clock()
         self._newest_known_version = 0
@@ -54,7 +63,7 @@
 
     async def start(self) -> None:
         """Start to watch the store."""
-        self.spawn(self._run_watch())
+        self.spawn(self._watch.run())
 
     async def close(self) -> None:
         """Close the connections to the store."""
@@ -77,12 +86,24 @@
         finally:
             self._fetching = False
 
+    @handlers.on(StoreContactChanged)
+    def handle_contact(self, message: StoreContactChanged) -> None:
+        """Ask a pending watch again if the store was away meanwhile."""
+        self._watch.update_contact(message.contact)
+
     def update_gauges(self) -> None:
         """Update the gauges of the configuration."""
         age_s = self.context.clock() - self._applied_s
         self.metrics.set_gauge('configuration_version', self._version)
         self.metrics.set_gauge('configuration_age_seconds', age_s)
         self.metrics.set_gauge('configuration_store_calls', self._store.calls)
+        self.metrics.set_gauge(
+            'configuration_watches_abandoned', self._watch.abandoned
+        )
+        self.metrics.set_gauge(
+            'configuration_watch_age_seconds',
+            self.context.clock() - self._watch.answered_s,
+        )
 
     def describe_state(self, _message: DescribeState) -> dict[str, Any]:
         """Return the version and age of the configuration in force."""
@@ -95,27 +116,8 @@
             },
         }
 
-    async def _run_watch(self) -> None:
-        revision: int | None = None
-        while True:
-            try:
-                if revision is None:
-                    listing = await self._store.list_items(CONFIGURATION_KEY)
-                else:
-                    listing = await self._store.watch(
-                        CONFIGURATION_KEY, revision, WATCH_TIMEOUT_MS
-                    )
-            except HistoryGoneError:
-                revision = None
-                continue
-            except StoreError as error:
-                log_event('routes:store-failed', 'debug', detail=repr(error))
-                await sleep(RETRY_DELAY_S * self.context.rng.uniform(0.7, 1.3))
-                continue
-            revision = listing.revision
-            self._apply_items(listing.items)
-            # Batches changes that follow each other into one call.
-            await sleep(WATCH_BATCH_DELAY_S)
+    def _log_failure(self, error: StoreError) -> None:
+        log_event('routes:store-failed', 'debug', detail=repr(error))
 
     def _apply_items(self, items: tuple[Item, ...]) -> None:
         for item in items:
@@ -157,8 +159,13 @@
             return
         finally:
             pool.close()
-        if response.head.status == HTTPStatus.OK:
-            self._apply(response.content, ip)
+        if response.head.status != HTTPStatus.OK:
+            return
+        before = self._version
+        self._apply(response.content, ip)
+        if self._version > before:
+            # The watch has not delivered a version that a peer already had.
+            self._watch.abandon('peer-has-newer-version')
 
 
 @MESH_PLUGINS.register('routes')
--- a/bergamotshunt/store/own_entry.py
+++ b/bergamotshunt/store/own_entry.py
@@ -23,6 +23,8 @@
 RENEW_INTERVAL_S: Final = 1.6
 # A lease is renewed early once this share of the interval has passed.
 RENEWAL_DUE_SHARE: Final = 0.9
+# One attempt finds the lease ended, the next one may find a conflict.
+MAX_ATTEMPTS: Final = 3
 
 
 class OwnEntry:
@@ -61,17 +63,20 @@
     async def renew_and_write(self, entry: ServerEntry) -> None:
         """Renew the lease if due, and write a changed entry.
 
+        An ended lease and a conflict are answers of a store that works, so
+        the next attempt follows at once: the entry is missing meanwhile.
+
         Raises:
             StoreError: A call to the store failed.
         """
-        try:
-            await self._renew_or_grant_lease()
-            if is_changed(entry, self.written):
-                await self._write(entry)
-        except LeaseEndedError:
-            self.lease = 0
-            self.written = None
-            raise
+        for attempts_left in reversed(range(MAX_ATTEMPTS)):
+            try:
+                await self._try_renew_and_write(entry)
+            except (LeaseEndedError, ConflictError):
+                if not attempts_left:
+                    raise
+            else:
+                return
 
     async def revoke(self) -> None:
         """Revoke the lease, which deletes the entry.
@@ -95,6 +100,16 @@
         self._revision = 0
         self.written = None
 
+    async def _try_renew_and_write(self, entry: ServerEntry) -> None:
+        try:
+            await self._renew_or_grant_lease()
+            if is_changed(entry, self.written):
+                await self._write(entry)
+        except LeaseEndedError:
+            # The store has removed the entry together with its lease.
+            self.mark_expired()
+            raise
+
     async def _renew_or_grant_lease(self) -> None:
         now_s = self._clock()
         if self.lease:
--- /dev/null
+++ b/bergamotshunt/store/store_watch.py
@@ -0,0 +1,163 @@
+"""Follows the items below a prefix of the store."""
+
+from asyncio import FIRST_COMPLETED, Event, create_task, sleep, wait
+from asyncio import Task as AsyncioTask
+from collections.abc import Callable
+from math import inf
+from random import Random
+from typing import Any, Final, NamedTuple
+
+from bergamotshunt.decisions.store_contact import StoreContact, is_watch_lost
+from bergamotshunt.log import log_event
+from bergamotshunt.platform.store import (
+    HistoryGoneError,
+    Item,
+    Listing,
+    StoreClient,
+    StoreError,
+)
+
+WATCH_TIMEOUT_MS: Final = 20_000
+# Range of the random factor that spreads the retries of the daemons.
+RETRY_JITTER: Final = (0.7, 1.3)
+
+
+class WatchTiming(NamedTuple):
+    """Delays of a watch.
+
+    Attributes:
+        retry_delay_s: Mean delay after a failed call, in seconds.
+        batch_delay_s: Delay after a response, in seconds; changes that
+            follow each other arrive with one call.
+    """
+
+    retry_delay_s: float
+    batch_delay_s: float
+
+
+class WatchObserver(NamedTuple):
+    """Functions that a watch calls.
+
+    Attributes:
+        on_listing: Takes all items below the prefix.
+        on_changes: Takes the items that changed since the last call.
+        on_failure: Takes the error of a failed call.
+    """
+
+    on_listing: Callable[[tuple[Item, ...]], None]
+    on_changes: Callable[[tuple[Item, ...]], None]
+    on_failure: Callable[[StoreError], None]
+
+
+class StoreWatch:
+    """Lists the items below a prefix, then watches their changes.
+
+    Args:
+        store: Client of the store.
+        prefix: Prefix of the keys.
+        observer: Functions that take the items and the errors.
+        timing: Delays between calls.
+        clock: Returns the monotonic time in seconds.
+        rng: Random source of the retry delays.
+
+    Attributes:
+        answered_s: Monotonic time of the last answer; before the first, of
+            the creation.
+        abandoned: Number of pending watches that were asked again.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        prefix: str,
+        observer: WatchObserver,
+        timing: WatchTiming,
+        clock: Callable[[], float],
+        rng: Random,
+    ) -> None:
+        """Create a watch that has asked nothing."""
+        self.answered_s = clock()
+        self.abandoned = 0
+        self._store = store
+        self._prefix = prefix
+        self._observer = observer
+        self._timing = timing
+        self._clock = clock
+        self._rng = rng
+        self._revision: int | None = None
+        self._asked_s = inf
+        self._abandon_requested = Event()
+
+    async def run(self) -> None:
+        """Follow the items until the task is cancelled."""
+        while True:
+            try:
+                await self._ask()
+            except HistoryGoneError:
+                self._revision = None
+            except StoreError as error:
+                self._observer.on_failure(error)
+                jitter = self._rng.uniform(*RETRY_JITTER)
+                await sleep(self._timing.retry_delay_s * jitter)
+
+    def update_contact(self, contact: StoreContact) -> None:
+        """Ask again if other calls show that the pending watch is lost."""
+        if is_watch_lost(self._asked_s, contact):
+            self.abandon('store-was-away')
+
+    def abandon(self, reason: str) -> None:
+        """Ask a pending watch again from its last revision.
+
+        Args:
+            reason: Why the pending watch is taken for lost, for the log.
+        """
+        if self._asked_s == inf or self._abandon_requested.is_set():
+            return
+        self.abandoned += 1
+        log_event(
+            'store:watch-abandoned',
+            prefix=self._prefix,
+            reason=reason,
+            pending_s=round(self._clock() - self._asked_s, 2),
+            revision=self._revision,
+        )
+        self._abandon_requested.set()
+
+    async def _ask(self) -> None:
+        if self._revision is None:
+            listing = await self._store.list_items(self._prefix)
+            self._observer.on_listing(listing.items)
+        else:
+            answer = await self._wait_for_changes(self._revision)
+            if answer is None:
+                return
+            listing = answer
+            self._observer.on_changes(listing.items)
+        self._revision = listing.revision
+        self.answered_s = self._clock()
+        await sleep(self._timing.batch_delay_s)
+
+    async def _wait_for_changes(self, revision: int) -> Listing | None:
+        """Return the next changes; None if the watch was abandoned.
+
+        Raises:
+            HistoryGoneError: The items have to be listed again.
+            StoreError: The call failed.
+        """
+        self._abandon_requested.clear()
+        self._asked_s = self._clock()
+        watching = create_task(
+            self._store.watch(self._prefix, revision, WATCH_TIMEOUT_MS)
+        )
+        abandoning = create_task(self._abandon_requested.wait())
+        try:
+            await wait((watching, abandoning), return_when=FIRST_COMPLETED)
+            return watching.result() if watching.done() else None
+        finally:
+            self._asked_s = inf
+            _cancel(watching, abandoning)
+
+
+def _cancel(*tasks: 'AsyncioTask[Any]') -> None:
+    for task in tasks:
+        task.cancel()
--- a/bergamotshunt/tests/mesh.py
+++ b/bergamotshunt/tests/mesh.py
@@ -17,6 +17,7 @@
 from bergamotshunt.mesh_settings import Address, Bounds, MeshSettings
 from bergamotshunt.platform.announcements import decode_entry, entry_key
 from bergamotshunt.platform.names import REQUEST_ID, TIMEOUT_MS
+from bergamotshunt.plugins.mesh.fleet import FleetTask
 from bergamotshunt.plugins.mesh.inbound import InboundTask
 from bergamotshunt.plugins.mesh.outbound import OutboundTask
 from standins.mesh_server import Behaviour, MeshServer
@@ -154,6 +155,13 @@
         routing = outbound_of(self.hosts[number])._routing
         return routing.version if routing else 0
 
+    def stored_servers(self, number: int) -> int:
+        """Return how many servers a daemon knows to be in the store."""
+        task = self.hosts[number].kernel.tasks_by_name['fleet']
+        assert isinstance(task, FleetTask)
+        by_ip = task._known_servers._by_ip
+        return sum(known.stored for known in by_ip.values())
+
     def is_serving(self, number: int) -> bool:
         return self._inbound(number)._server.load().serving
 
--- a/standins/mesh_store.py
+++ b/standins/mesh_store.py
@@ -1,6 +1,6 @@
 """Stand-in for the platform's key-value store in mesh mode."""
 
-from asyncio import Condition, timeout
+from asyncio import Condition, Event, timeout
 from base64 import b64decode
 from http import HTTPStatus
 from typing import Any, Final, NamedTuple
@@ -41,6 +41,8 @@
         calls: Paths of all calls, in their order.
         responses_to_drop: Number of next transactions that are executed
             and whose connection closes without a response.
+        silent: Whether calls get no response. Those that arrive meanwhile or
+            are pending at its begin never get one; connections stay open.
     """
 
     def __init__(self) -> None:
@@ -50,6 +52,8 @@
         self.compacted_revision = 0
         self.calls: list[str] = []
         self.responses_to_drop = 0
+        self.silent = False
+        self._silences = 0
         self._revision = 1
         self._last_lease_id = 100
         self._lease_ids: set[int] = set()
@@ -66,6 +70,11 @@
         """Stop listening."""
         await self._listener.close()
 
+    def fall_silent(self) -> None:
+        """Answer none of the pending calls, and no call until the return."""
+        self.silent = True
+        self._silences += 1
+
     async def put(self, key: str, content: str, lease: int = 0) -> int:
         """Write a value, given as base64 text, and return its revision."""
         self._revision += 1
@@ -107,7 +116,12 @@
             exchange.respond(HTTPStatus.SERVICE_UNAVAILABLE, [])
             return
         parameters = dict(parse_qsl(query))
-        status, document = await self._dispatch(path, parameters, body)
+        silences = self._silences
+        if not self.silent:
+            status, document = await self._dispatch(path, parameters, body)
+        if self.silent or self._silences != silences:
+            # The connection stays open until the daemon closes it.
+            await Event().wait()
         if self.responses_to_drop and path == '/-/kv-txn':
             self.responses_to_drop -= 1
             exchange.abort()
