Require the request's id in every response of the backend server

A faulty server writes an earlier refusal once more on a kept connection. Callers were told 'not run' for requests that the server had run or was running, or the request was sent to a second server.

Cause: a response without a request id was taken for the response to the current request, so a repeat without an id, or one with status 421, was believed. Servers echo the id of the request, so a response without it is now skipped like any other late response, and its connection is not used again. The stand-in's refusals echo the id too, as the protocol says.

--- a/bergamotshunt/backend/server_client.py
+++ b/bergamotshunt/backend/server_client.py
@@ -161,6 +161,8 @@
 
 
 def _belongs_to_request(request_id: str, head: ResponseHead) -> bool:
-    """Return false for a late response to an earlier request."""
-    response_request_id = read_server_response_info(head).request_id
-    return not response_request_id or response_request_id == request_id
+    """Return whether a response states the id of the request.
+
+    Servers echo it; a response without one may be to an earlier request.
+    """
+    return read_server_response_info(head).request_id == request_id
--- a/standins/mesh_server.py
+++ b/standins/mesh_server.py
@@ -97,7 +97,13 @@
             )
             return
         if head.by_name.get(TARGET_INSTANCE.lower()) != self.instance.encode():
-            exchange.respond(421, [(INSTANCE_ID, self.instance.encode())])
+            exchange.respond(
+                421,
+                [
+                    *self.headers(exchange),
+                    (INSTANCE_ID, self.instance.encode()),
+                ],
+            )
             return
         self.runs.append(head.by_name[REQUEST_ID.lower()])
         self.request_heads.append(head.by_name)
@@ -124,7 +130,7 @@
 async def refuse_unexecuted(server: MeshServer, exchange: Exchange) -> None:
     """Refuse the request as not executed and remove it from the runs."""
     server.runs.pop()
-    exchange.respond(503, [(NOT_EXECUTED, b'1')])
+    exchange.respond(503, [*server.headers(exchange), (NOT_EXECUTED, b'1')])
 
 
 async def abort_mid_response(server: MeshServer, exchange: Exchange) -> None:
