Pass no promise on from a connection that is out of sync

A refusal promises that the request did not run and never will. One that arrived behind a response that belongs to no request was still passed on, although bytes of that server were already known to be faulty or late.

A response now states whether the connection was in sync before its head; a refusal that was not gets the verdict may-have-run.

--- a/bergamotshunt/backend/server_relay.py
+++ b/bergamotshunt/backend/server_relay.py
@@ -114,6 +114,18 @@
         deadline_ms: float,
     ) -> None:
         connection = await self._client.connect()
+        try:
+            await self._run_on(connection, exchange, call, deadline_ms)
+        finally:
+            self._report_skipped(connection, call)
+
+    async def _run_on(
+        self,
+        connection: ClientConnection,
+        exchange: Exchange,
+        call: PeerCall,
+        deadline_ms: float,
+    ) -> None:
         try:
             await self._send_and_relay(connection, exchange, call, deadline_ms)
         except (ResponseLostError, IncompleteBodyError, TimeoutError) as error:
@@ -134,6 +146,24 @@
         else:
             self._client.release(connection)
 
+    def _report_skipped(
+        self, connection: ClientConnection, call: PeerCall
+    ) -> None:
+        """Report responses that belong to no request, such as late ones.
+
+        A connection with such a response is not used again.
+        """
+        count = connection.skipped_responses
+        if count:
+            self._metrics.increment('server_responses_skipped', count)
+            self._log.write(
+                'inbound:responses-skipped',
+                failed=True,
+                request_id=call.request_id,
+                instance=call.instance,
+                count=count,
+            )
+
     async def _send_and_relay(
         self,
         connection: ClientConnection,
@@ -175,6 +205,7 @@
         head = response.head
         info = read_server_response_info(head)
         if info.refused:
+            _check_promise(response)
             await response.body.read_up_to(MAX_BUFFERED_BODY_BYTES)
             self.refuse(exchange, self._create_refusal(info))
             return
@@ -209,5 +240,18 @@
         return Refusal(SERVER_REFUSED, self._server.expected_run_ms())
 
 
+def _check_promise(response: Response) -> None:
+    """Check whether a refusal certainly belongs to the request.
+
+    Raises:
+        ResponseLostError: It may not; the request may have run.
+    """
+    if not response.in_sync:
+        raise ResponseLostError(
+            f'refusal with status {response.head.status} after a response '
+            'that belongs to no request'
+        )
+
+
 def _result_headers(result: PeerResult) -> list[Header]:
     return [(RESULT_HEADER, encode_result(result))]
--- a/bergamotshunt/http/client_connection.py
+++ b/bergamotshunt/http/client_connection.py
@@ -41,10 +41,18 @@
 
 
 class Response(NamedTuple):
-    """Head of a response, and its body, which may still be arriving."""
+    """Head of a response, and its body, which may still be arriving.
+
+    Attributes:
+        head: Head of the response.
+        body: Body of the response.
+        in_sync: Whether the connection had no bytes before it that belong
+            to no request.
+    """
 
     head: ResponseHead
     body: Body
+    in_sync: bool
 
 
 class ClientConnection(Protocol):
@@ -53,12 +61,14 @@
     Attributes:
         idle_since_s: Loop time at which it was returned to its pool.
         idle_limit_s: How long it may be kept without a request, in seconds.
+        skipped_responses: Number of responses that belonged to no request.
     """
 
     def __init__(self) -> None:
         """Create a protocol that is not connected yet."""
         self.idle_since_s: float = 0
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
+        self.skipped_responses = 0
         self._transport: Transport | None = None
         self._parser = HttpResponseParser(self)
         self._can_write = Event()
@@ -160,6 +170,7 @@
             # the expected one.
             self._skipping_response = True
             self._out_of_sync = True
+            self.skipped_responses += 1
             return
         self._skipping_response = False
         self._keep_alive = self._parser.should_keep_alive()
@@ -170,7 +181,7 @@
         waiter = self._response_waiter
         self._response_waiter = None
         if not waiter.done():
-            waiter.set_result(Response(head, body))
+            waiter.set_result(Response(head, body, not self._out_of_sync))
         if self._is_bodyless(status):
             body.finish()
             self._body = None
--- a/bergamotshunt/tests/test_mesh_faulty_server.py
+++ b/bergamotshunt/tests/test_mesh_faulty_server.py
@@ -164,3 +164,28 @@
             play(respond(refusal(b'r1')), script, left_ms=100)
         )
         assert outcomes == [REFUSED, LOST]
+
+
+@for_each_repeat
+def test_refusal_behind_other_bytes_promises_nothing(repeat: bytes) -> None:
+    """Guards against a promise on a connection that is out of sync.
+
+    The refusal states the id of the request, but follows a response that
+    belongs to none.
+    """
+    outcomes, _ = asyncio.run(
+        play(respond(refusal(b'r1')), respond(repeat + refusal(b'r2')))
+    )
+    assert outcomes == [REFUSED, LOST]
+
+
+def test_skipped_responses_are_counted_once_a_connection() -> None:
+    """Guards against a faulty server that no operator can see."""
+    for contents, left_ms in (
+        ((refusal(b'x9') + answer(b'r2'),), 5000),
+        ((refusal(b'x9'),), 100),
+    ):
+        _, server = asyncio.run(
+            play(respond(answer(b'r1')), respond(*contents), left_ms=left_ms)
+        )
+        assert server.count('server_responses_skipped') == 1
