Keep a status that clients take as a promise to stated refusals

A response with 408, 429 or 503 that carries the request's id but does not state that the request did not run went to the client as it was. Clients take these statuses as a promise, and may send a request again that ran.

Such a response now has the verdict may-have-run, so the client gets 502 or the response of another server for a request that may be repeated.

--- a/bergamotshunt/backend/server_relay.py
+++ b/bergamotshunt/backend/server_relay.py
@@ -210,6 +210,11 @@
             self.refuse(exchange, self._create_refusal(info))
             return
         result = self._end_run(start, info)
+        if info.looks_refused:
+            raise ResponseLostError(
+                f'response with status {head.status} does not state that '
+                'the request did not run'
+            )
         if head.status < HTTPStatus.MULTIPLE_CHOICES and not info.signed:
             raise ResponseLostError(
                 f'response with status {head.status} has no signature header'
--- a/bergamotshunt/platform/requests.py
+++ b/bergamotshunt/platform/requests.py
@@ -43,6 +43,15 @@
         RESULT_HEADER,
     )
 )
+# Clients take these as a promise that the request did not run.
+PROMISE_STATUSES: Final = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 RESULT_HEADERS: Final = frozenset((RESULT_HEADER.lower(), CALL_HEADER.lower()))
 
 
@@ -68,6 +77,7 @@
 
     Attributes:
         refused: Whether the server states that the request did not run.
+        looks_refused: Whether clients take the status as such a statement.
         misdirected: Whether another server responds at this address.
         request_id: Id of the request it belongs to; empty when missing.
         instance: Instance id of the server; empty when missing.
@@ -78,6 +88,7 @@
     """
 
     refused: bool
+    looks_refused: bool
     misdirected: bool
     request_id: str
     instance: str
@@ -157,6 +168,7 @@
     misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
     return ServerResponseInfo(
         refused=misdirected or NOT_EXECUTED.lower() in by_name,
+        looks_refused=head.status in PROMISE_STATUSES,
         misdirected=misdirected,
         request_id=by_name.get(REQUEST_ID.lower(), b'').decode('latin-1'),
         instance=by_name.get(INSTANCE_ID.lower(), b'').decode('latin-1'),
--- a/bergamotshunt/tests/test_mesh_faulty_server.py
+++ b/bergamotshunt/tests/test_mesh_faulty_server.py
@@ -189,3 +189,15 @@
             play(respond(answer(b'r1')), respond(*contents), left_ms=left_ms)
         )
         assert server.count('server_responses_skipped') == 1
+
+
+@pytest.mark.parametrize('status', [b'408', b'429', b'503'])
+def test_status_of_a_refusal_alone_promises_nothing(status: bytes) -> None:
+    """Guards against a promise that the server did not give.
+
+    Clients take such a status as a promise, but only the server's statement
+    shows that the request did not run.
+    """
+    content = answer(b'r2').replace(b'200', status)
+    outcomes, _ = asyncio.run(play(respond(refusal(b'r1')), respond(content)))
+    assert outcomes == [REFUSED, LOST]
