Skip a request's late response where a probe's is expected

Probes and requests share connections. A probe took the next response on its connection for its own, also a late refusal of a request, so the server looked unhealthy, and its true response stayed on the connection.

The response to a probe has no request id; one with an id is now skipped. The reverse, a probe's response taken for a request's, is prevented by the id that every response to a request needs.

--- a/bergamotshunt/backend/server_client.py
+++ b/bergamotshunt/backend/server_client.py
@@ -83,7 +83,10 @@
         )
         connection = await self.connect()
         response = await self._pool.fetch_on(
-            connection, request, MAX_BUFFERED_BODY_BYTES
+            connection,
+            request,
+            MAX_BUFFERED_BODY_BYTES,
+            partial(_belongs_to_request, ''),
         )
         return read_server_response_info(response.head)
 
@@ -164,5 +167,6 @@
     """Return whether a response states the id of the request.
 
     Servers echo it; a response without one may be to an earlier request.
+    Probes have no id.
     """
     return read_server_response_info(head).request_id == request_id
--- a/bergamotshunt/http/client_pool.py
+++ b/bergamotshunt/http/client_pool.py
@@ -3,7 +3,11 @@
 from asyncio import get_running_loop, timeout
 from typing import Final, NamedTuple
 
-from bergamotshunt.http.client_connection import ClientConnection, NotSentError
+from bergamotshunt.http.client_connection import (
+    ClientConnection,
+    NotSentError,
+    ResponseMatcher,
+)
 from bergamotshunt.http.heads import ResponseHead
 
 DEFAULT_CONNECT_TIMEOUT_S: Final = 0.5
@@ -69,10 +73,16 @@
         connection: ClientConnection,
         request: bytes,
         max_bytes: int,
+        is_expected: ResponseMatcher | None = None,
     ) -> WholeResponse:
-        """Do the same as ``fetch`` on a given connection of the pool."""
+        """Do the same as ``fetch`` on a given connection of the pool.
+
+        Responses that are not expected are skipped.
+        """
         try:
-            response = await connection.send_request(request, whole=True)
+            response = await connection.send_request(
+                request, is_expected, whole=True
+            )
             content = await response.body.read_up_to(max_bytes)
         except BaseException:
             connection.close()
--- a/bergamotshunt/tests/test_mesh_faulty_server.py
+++ b/bergamotshunt/tests/test_mesh_faulty_server.py
@@ -201,3 +201,29 @@
     content = answer(b'r2').replace(b'200', status)
     outcomes, _ = asyncio.run(play(respond(refusal(b'r1')), respond(content)))
     assert outcomes == [REFUSED, LOST]
+
+
+def test_probe_and_request_share_no_response() -> None:
+    """Guards against taking a probe's response for a request's, or reverse.
+
+    Both use the same connections; only responses to requests have an id.
+    """
+    healthy = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+    unhealthy = healthy.replace(b'200', b'503')
+
+    async def run_scenario() -> None:
+        scripts = (
+            respond(answer(b'r1')),
+            respond(refusal(b'r1') + healthy),
+            respond(healthy),
+            respond(unhealthy + answer(b'r2')),
+        )
+        async with FaultyServer(*scripts) as server:
+            assert await server.send('r1') == RAN
+            info = await server.client.probe('/healthz')
+            assert info.healthy and not info.refused
+            assert (await server.client.probe('/healthz')).healthy
+            assert await server.send('r2') == RAN
+            assert server.connections == 2
+
+    asyncio.run(run_scenario())
