Bound the bytes of a response besides its body

A faulty server may send bytes that are no answer without end. The parser and the connection kept a head in memory until the deadline: header lines without end took 660 MiB in 2 s over loopback, one header line 90 MiB (base of the process 37 MiB); a daemon has 200 MB. Interim and late responses, trailers and chunk extensions without end kept the request and its slot until the deadline, or for ever once the response had started.

A connection now fails after 64 KiB without a byte of a body, which bounds heads, trailers and the framing of chunks but no long or slow body, and after 1 MiB before the head of the response, which bounds skipped responses. It applies to requests, probes, the store, a peer's configuration and between daemons. A fetch fails when the body exceeds its limit; it used to return a part of the body.

--- a/bergamotshunt/http/client_connection.py
+++ b/bergamotshunt/http/client_connection.py
@@ -25,6 +25,12 @@
 IDLE_LIMIT_FACTOR: Final = 0.5
 # Applies while the server has sent no Keep-Alive header.
 DEFAULT_IDLE_LIMIT_S: Final = 4.0
+# Limit on bytes without one of a body between them: a head, trailers or the
+# framing of a chunk. The parser keeps a header line in memory until its end.
+MAX_FRAMING_BYTES: Final = 65_536
+# Limit on bytes before the head of the response, with late responses to
+# earlier requests, which are dropped.
+MAX_SKIPPED_BYTES: Final = 1_048_576
 SWITCHING_PROTOCOLS: Final = 101
 FIRST_FINAL_STATUS: Final = 200
 
@@ -77,6 +83,8 @@
         self._response_waiter: Future[Response] | None = None
         self._body: Body | None = None
         self._headers: list[Header] = []
+        self._framing_bytes = 0
+        self._skipped_bytes = 0
         self._in_head = False
         self._skipping_response = False
         self._until_close = False
@@ -102,12 +110,14 @@
         if self._until_close and self._body is not None:
             self._body.feed(data)
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except HttpParserError as error:
             self._fail_out_of_sync(
                 f'the server sent a malformed HTTP response: {error}'
             )
+        self._check_limits(len(data))
 
     def eof_received(self) -> bool:
         """Complete a response whose end is the end of the connection."""
@@ -189,6 +199,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Add received bytes to the body."""
+        self._framing_bytes = 0
         if not self._skipping_response and self._body is not None:
             self._body.feed(body)
 
@@ -252,6 +263,8 @@
         self._request_complete = whole
         self._is_head_request = bodyless
         self._until_close = False
+        self._framing_bytes = 0
+        self._skipped_bytes = 0
         self._response_waiter = get_running_loop().create_future()
         self._transport.write(head)
         return self._response_waiter
@@ -275,6 +288,20 @@
 
     # Internals
 
+    def _check_limits(self, received_bytes: int) -> None:
+        """Fail a response that has too many bytes besides its body."""
+        if self._response_waiter is not None:
+            self._skipped_bytes += received_bytes
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._fail_out_of_sync(
+                f'the server sent over {MAX_FRAMING_BYTES} bytes of framing'
+            )
+        elif self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self._fail_out_of_sync(
+                f'the server sent over {MAX_SKIPPED_BYTES} bytes before the '
+                'response'
+            )
+
     def _create_head(self, status: int) -> ResponseHead:
         by_name = {name.lower(): content for name, content in self._headers}
         length: int | None = None
--- a/bergamotshunt/http/client_pool.py
+++ b/bergamotshunt/http/client_pool.py
@@ -3,6 +3,7 @@
 from asyncio import get_running_loop, timeout
 from typing import Final, NamedTuple
 
+from bergamotshunt.http.bodies import IncompleteBodyError
 from bergamotshunt.http.client_connection import (
     ClientConnection,
     NotSentError,
@@ -59,12 +60,12 @@
 
         Args:
             request: Head and body.
-            max_bytes: The response body is read until it ends or exceeds
-                this size.
+            max_bytes: Limit on the size of the response body.
 
         Raises:
             NotSentError: The server could not be connected to in time.
-            ConnectionError: The response did not arrive completely.
+            ConnectionError: The response did not arrive completely, or
+                exceeds the limit.
         """
         return await self.fetch_on(await self.acquire(), request, max_bytes)
 
@@ -84,6 +85,10 @@
                 request, is_expected, whole=True
             )
             content = await response.body.read_up_to(max_bytes)
+            if len(content) > max_bytes:
+                raise IncompleteBodyError(
+                    f'the response has over {max_bytes} bytes'
+                )
         except BaseException:
             connection.close()
             raise
--- a/bergamotshunt/tests/faulty_server.py
+++ b/bergamotshunt/tests/faulty_server.py
@@ -95,12 +95,14 @@
     Attributes:
         request_ids: Ids of the requests, empty for probes, in their order.
         connections: Number of accepted connections.
+        port: Port of the server.
         disconnected: Set when the daemon has closed a connection.
     """
 
     def __init__(self, *scripts: Script) -> None:
         self.request_ids: list[bytes] = []
         self.connections = 0
+        self.port = 0
         self.disconnected = asyncio.Event()
         self.metrics = TaskMetrics()
         self._scripts = list(scripts)
@@ -108,8 +110,8 @@
 
     async def __aenter__(self) -> 'FaultyServer':
         self._server = await asyncio.start_server(self._play, IP, 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.client = ServerClient(Address(IP, port), lambda _detail: None)
+        self.port = self._server.sockets[0].getsockname()[1]
+        self.client = ServerClient(Address(IP, self.port), lambda _detail: None)
         own_server = OwnServer(lambda: monotonic() * 1000, lambda: None)
         own_server.apply_announcement(
             ServerEntry(
