Log connections that end with a response due or unsent

Each connection to a listener now ends with a typed reason; the listening task counts and logs those that still owe a response, within the token bucket of its request log. daemon:drained states what is still open.

--- a/bergamotshunt/http/exchanges.py
+++ b/bergamotshunt/http/exchanges.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from bergamotshunt.http.bodies import Body
+from bergamotshunt.http.connection_ends import CloseReason
 from bergamotshunt.http.heads import (
     LAST_CHUNK,
     Header,
@@ -34,8 +35,8 @@
     def set_reading(self, reading: bool) -> None:
         """Pause or resume reading from the client."""
 
-    def abort(self) -> None:
-        """Reset the connection."""
+    def abort(self, reason: CloseReason) -> None:
+        """Close the connection at once and drop what is unsent."""
 
 
 class Exchange:
@@ -52,6 +53,7 @@
         finished: Whether the whole response was written.
         closing: Whether the connection closes after the response.
         task: Task that runs the handler, if it was started.
+        request_id: Id of the request for logs; the handler sets it.
     """
 
     def __init__(self, connection: Connection) -> None:
@@ -64,6 +66,7 @@
         self.finished = False
         self.closing = False
         self.task: AsyncioTask[None] | None = None
+        self.request_id = ''
         self._chunked = False
         self._bodyless = False
         self._pending_output: list[bytes] = []
@@ -114,9 +117,9 @@
         else:
             self.respond(status, headers)
 
-    def abort(self) -> None:
-        """Reset the connection, so that no client accepts the response."""
-        self.connection.abort()
+    def abort(self, reason: CloseReason = CloseReason.HANDLER_FAILED) -> None:
+        """Close the connection, so that no client accepts the response."""
+        self.connection.abort(reason)
 
     async def drain(self) -> None:
         """Wait until the client has received most of the written bytes."""
--- a/bergamotshunt/http/listeners.py
+++ b/bergamotshunt/http/listeners.py
@@ -6,6 +6,12 @@
 from http import HTTPStatus
 from typing import Any, Final
 
+from bergamotshunt.http.connection_ends import (
+    CloseReason,
+    ConnectionEnd,
+    OpenConnections,
+    total_of,
+)
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.server_connection import ServerConnection
 from bergamotshunt.log import log_error
@@ -15,6 +21,11 @@
 DEFAULT_LIMITS: Final = ClientLimits()
 
 Handler = Callable[[Exchange], Coroutine[Any, Any, None]]
+EndObserver = Callable[[ConnectionEnd], None]
+
+
+def ignore_end(_end: ConnectionEnd) -> None:
+    """Ignore the end of a connection."""
 
 
 class Listener:
@@ -23,6 +34,7 @@
     Args:
         handler: Handles one exchange.
         limits: Limits for clients; may be replaced at any time.
+        on_connection_end: Called with the end of each connection.
 
     Attributes:
         connections: All open connections.
@@ -35,9 +47,11 @@
         self,
         handler: Handler,
         limits: ClientLimits = DEFAULT_LIMITS,
+        on_connection_end: EndObserver = ignore_end,
     ) -> None:
         """Create a listener without a socket."""
         self.limits = limits
+        self.on_connection_end = on_connection_end
         self.connections: set[ServerConnection] = set()
         self.closing = False
         self.closing_idle = False
@@ -68,6 +82,10 @@
         """Start the handler of a request in a task."""
         return get_running_loop().create_task(self._run(exchange))
 
+    def describe_connections(self) -> OpenConnections:
+        """Return the state of all open connections."""
+        return total_of([connection.state for connection in self.connections])
+
     def close_after_responses(self) -> None:
         """Close each connection after its next response from now on."""
         self.closing = True
@@ -90,7 +108,7 @@
         if self._server is not None:
             self._server.close()
         for connection in tuple(self.connections):
-            connection.abort()
+            connection.abort(CloseReason.SHUTDOWN)
 
     async def _run(self, exchange: Exchange) -> None:
         self.running += 1
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -4,14 +4,20 @@
 from asyncio import Protocol as AsyncioProtocol
 from asyncio import Task as AsyncioTask
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final, Protocol
 
 from httptools import HttpParserError, HttpRequestParser
 
+from bergamotshunt.http.connection_ends import (
+    CloseReason,
+    ConnectionEnd,
+    OpenConnections,
+)
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.heads import Header, RequestHead
-from bergamotshunt.http.sockets import set_socket_options
+from bergamotshunt.http.sockets import format_address, set_socket_options
 from bergamotshunt.routing import ClientLimits
 
 MS_PER_S: Final = 1000
@@ -28,12 +34,14 @@
         connections: All open connections.
         closing: Whether connections close after their next response.
         closing_idle: Whether idle connections close at once.
+        on_connection_end: Called with the end of each connection.
     """
 
     limits: ClientLimits
     connections: 'set[ServerConnection]'
     closing: bool
     closing_idle: bool
+    on_connection_end: 'Callable[[ConnectionEnd], None]'
 
     def now_s(self) -> float:
         """Return the loop time in seconds."""
@@ -63,12 +71,18 @@
         self._next_response_changed = Event()
         self._pause_count: int = 0
         self._rejecting = False
+        self._client = ''
+        self._close_reason: CloseReason | None = None
+        self._is_aborted = False
+        self._unsent_bytes = 0
+        self._last_request_id = ''
 
     # Transport callbacks
 
     def connection_made(self, transport: Any) -> None:
         """Set the socket options and start the timeout checks."""
         self._transport = transport
+        self._client = format_address(transport)
         set_socket_options(transport)
         self._idle_since_s = self._listener.now_s()
         self._listener.connections.add(self)
@@ -89,6 +103,7 @@
 
     def eof_received(self) -> bool:
         """Close the connection: the client has closed its side."""
+        self._record_close(CloseReason.CLIENT_CLOSED)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -98,6 +113,7 @@
             self._timer.cancel()
         self._can_write.set()
         self._next_response_changed.set()
+        self._report_end(exc)
         for exchange in self._exchanges:
             exchange.body.mark_incomplete('the client closed its connection')
             if exchange.task is not None:
@@ -108,10 +124,12 @@
     def pause_writing(self) -> None:
         """Stop writing responses: the client does not read."""
         self._can_write.clear()
+        self._unsent_bytes = self._count_unsent_bytes()
 
     def resume_writing(self) -> None:
         """Resume writing responses."""
         self._can_write.set()
+        self._unsent_bytes = self._count_unsent_bytes()
 
     # Parser callbacks
 
@@ -171,6 +189,13 @@
             exchange.body.finish()
         self.flush()
 
+    @property
+    def state(self) -> OpenConnections:
+        """The responses that this connection has not sent yet."""
+        return OpenConnections(
+            1, len(self._exchanges), self._count_unsent_bytes()
+        )
+
     # Interface for exchanges
 
     def is_next_response(self, exchange: Exchange) -> bool:
@@ -195,7 +220,7 @@
                 return
         self._idle_since_s = self._listener.now_s()
         if self._listener.closing and self._listener.closing_idle:
-            self._close()
+            self._close(CloseReason.SHUTDOWN)
 
     async def drain(self, exchange: Exchange) -> None:
         """Wait until the exchange may write more."""
@@ -216,15 +241,18 @@
         else:
             self._transport.resume_reading()
 
-    def abort(self) -> None:
-        """Reset the connection."""
+    def abort(self, reason: CloseReason) -> None:
+        """Close the connection at once and drop what is unsent."""
         if self._transport is not None:
+            self._record_close(reason)
+            self._close_reason = reason
+            self._is_aborted = True
             self._transport.abort()
 
     def close_if_idle(self) -> None:
         """Close the connection unless it has a request."""
         if not self._exchanges and self._arriving is None:
-            self._close()
+            self._close(CloseReason.SHUTDOWN)
 
     # Internals
 
@@ -245,10 +273,11 @@
             if not exchange.closing:
                 return False
         self._exchanges.popleft()
+        self._last_request_id = exchange.request_id
         self._next_response_changed.set()
         self._next_response_changed = Event()
         if exchange.closing:
-            self._close()
+            self._close(CloseReason.LAST_RESPONSE)
             return False
         if len(self._exchanges) == MAX_PIPELINED_REQUESTS:
             self.set_reading(True)
@@ -286,14 +315,42 @@
         if exchange.task is not None:
             exchange.task.cancel()
         if exchange.started:
-            self.abort()
+            self.abort(CloseReason.REJECTED)
         elif not exchange.finished:
             exchange.respond(status, [])
 
-    def _close(self) -> None:
+    def _close(self, reason: CloseReason) -> None:
         if self._transport is not None:
+            self._record_close(reason)
             self._transport.close()
 
+    def _record_close(self, reason: CloseReason) -> None:
+        """Keep the first reason, and the number of bytes unsent now."""
+        self._unsent_bytes = self._count_unsent_bytes()
+        if self._close_reason is None:
+            self._close_reason = reason
+
+    def _count_unsent_bytes(self) -> int:
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    def _report_end(self, error: Exception | None) -> None:
+        reason = self._close_reason or CloseReason.CONNECTION_FAILED
+        is_flushed = error is None and not self._is_aborted
+        request_id = self._last_request_id
+        if self._exchanges:
+            request_id = self._exchanges[0].request_id
+        self._listener.on_connection_end(
+            ConnectionEnd(
+                reason,
+                self._client,
+                0 if is_flushed else self._unsent_bytes,
+                len(self._exchanges),
+                request_id,
+            )
+        )
+
     def _check_timeouts(self) -> None:
         limits = self._listener.limits
         now_s = self._listener.now_s()
@@ -307,7 +364,7 @@
         else:
             due_s = self._idle_since_s + limits.idle_timeout_ms / MS_PER_S
             if now_s >= due_s:
-                self._close()
+                self._close(CloseReason.IDLE)
                 return
         wait_s = min(due_s - now_s, limits.head_timeout_ms / MS_PER_S)
         self._timer = get_running_loop().call_later(
--- a/bergamotshunt/http/sockets.py
+++ b/bergamotshunt/http/sockets.py
@@ -42,6 +42,12 @@
         tcp.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms)
 
 
+def format_address(transport: BaseTransport) -> str:
+    """Return the peer's address as ``ip:port``, or empty when unknown."""
+    address = transport.get_extra_info('peername')
+    return f'{address[0]}:{address[1]}' if address else ''
+
+
 def has_socket_error(transport: BaseTransport) -> bool:
     """Return whether the socket of a connection has a pending error.
 
--- a/bergamotshunt/ingress/request_proxy.py
+++ b/bergamotshunt/ingress/request_proxy.py
@@ -7,6 +7,7 @@
 from bergamotshunt.choice.dispatching import Dispatcher
 from bergamotshunt.choice.peer_attempts import AttemptOutcome
 from bergamotshunt.http.bodies import IncompleteBodyError
+from bergamotshunt.http.connection_ends import CloseReason
 from bergamotshunt.http.heads import Header
 from bergamotshunt.ingress.forwarded_requests import MS_PER_S, ForwardedRequest
 from bergamotshunt.ingress.request_forwarder import RequestForwarder
@@ -59,7 +60,7 @@
         forwarder: 'RequestForwarder',
     ) -> None:
         if request.exchange.started:
-            request.exchange.abort()
+            request.exchange.abort(CloseReason.TIMEOUT)
         elif forwarder.may_have_run:
             request.exchange.respond(HTTPStatus.GATEWAY_TIMEOUT, [])
         else:
@@ -115,7 +116,7 @@
                 request_id=request.info.request_id,
                 service=request.service,
             )
-            exchange.abort()
+            exchange.abort(CloseReason.RESPONSE_CUT)
         finally:
             if outcome.connection is not None:
                 outcome.connection.close()
--- a/bergamotshunt/mesh_daemon.py
+++ b/bergamotshunt/mesh_daemon.py
@@ -22,9 +22,16 @@
     create_runner,
     run_until_stop_requested,
 )
-from bergamotshunt.kernel import MESH_PLUGINS, Context, Kernel, MessageBus
-from bergamotshunt.log import log_event
-from bergamotshunt.mesh_messages import StopRequested
+from bergamotshunt.http.connection_ends import total_of
+from bergamotshunt.kernel import (
+    MESH_PLUGINS,
+    Context,
+    Kernel,
+    MessageBus,
+    TaskStoppedError,
+)
+from bergamotshunt.log import log_error, log_event
+from bergamotshunt.mesh_messages import DescribeConnections, StopRequested
 from bergamotshunt.mesh_settings import MeshSettings
 from bergamotshunt.nonblocking_log import NonBlockingDestination
 from bergamotshunt.platform.boot import FILE_VARIABLE, decode_settings
@@ -35,6 +42,7 @@
 STDOUT_DESCRIPTOR: Final = 1
 # The drain ends this long before SIGKILL, so that the kernel can still stop.
 SIGKILL_MARGIN_S: Final = 0.6
+DESCRIBE_TIMEOUT_S: Final = 0.1
 
 
 def run_mesh_daemon() -> int:
@@ -103,6 +111,22 @@
     log_event('daemon:stop-asked', daemon=mesh.daemon_id)
     kernel.context.bus.publish(StopRequested())
     is_drained = await kernel.drain(mesh.bounds.grace_s - SIGKILL_MARGIN_S)
-    log_event('daemon:drained', complete=is_drained)
+    await _log_drained(kernel, is_drained=is_drained)
     await kernel.stop()
     return EXIT_OK
+
+
+async def _log_drained(kernel: Kernel, *, is_drained: bool) -> None:
+    """Log the end of the drain, with what is still open."""
+    try:
+        states = await kernel.context.bus.ask_all(
+            DescribeConnections(), DESCRIBE_TIMEOUT_S
+        )
+    except (TimeoutError, TaskStoppedError) as error:
+        log_error('daemon:drained', error, complete=is_drained)
+        return
+    log_event(
+        'daemon:drained',
+        complete=is_drained,
+        **total_of(states)._asdict(),
+    )
--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -6,6 +6,10 @@
 from bergamotshunt.routing import Routing, ServerEntry
 
 
+class DescribeConnections(NamedTuple):
+    """Request for the ``OpenConnections`` of all listeners."""
+
+
 class RoutingChanged(NamedTuple):
     """A newer configuration is in force here."""
 
--- a/bergamotshunt/mesh_task.py
+++ b/bergamotshunt/mesh_task.py
@@ -2,11 +2,21 @@
 
 from typing import Any
 
+from bergamotshunt.http.connection_ends import (
+    CLOSED_BY_CLIENT,
+    ConnectionEnd,
+    OpenConnections,
+)
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.listeners import Listener
 from bergamotshunt.kernel import Context, HandlerTable, Task
-from bergamotshunt.mesh_messages import DescribeMetrics, DescribeState
+from bergamotshunt.mesh_messages import (
+    DescribeConnections,
+    DescribeMetrics,
+    DescribeState,
+)
 from bergamotshunt.mesh_settings import Address, MeshSettings
+from bergamotshunt.request_log import RequestLog
 from bergamotshunt.task_metrics import Snapshot, TaskMetrics
 
 
@@ -68,11 +78,19 @@
         address: Address to listen on.
     """
 
+    def __init_subclass__(cls) -> None:
+        """Register the handlers that all listening tasks share."""
+        super().__init_subclass__()
+        cls.handlers.on(DescribeConnections)(cls.describe_connections)
+
     def __init__(self, context: Context, address: Address) -> None:
         """Create the task; ``open`` binds the socket."""
         super().__init__(context)
-        self._listener = Listener(self.serve)
+        self._listener = Listener(
+            self.serve, on_connection_end=self._record_connection_end
+        )
         self._address = address
+        self._log = RequestLog(context.clock)
 
     async def open(self) -> None:
         """Listen on the address."""
@@ -86,3 +104,23 @@
     async def serve(self, exchange: Exchange) -> None:
         """Serve one request; subclasses implement this."""
         raise NotImplementedError
+
+    def describe_connections(
+        self, _message: DescribeConnections
+    ) -> OpenConnections:
+        """Return the state of the open connections."""
+        return self._listener.describe_connections()
+
+    def _record_connection_end(self, end: ConnectionEnd) -> None:
+        """Count and log a connection that ended before its responses."""
+        if end.complete:
+            return
+        self.metrics.increment(
+            'connections_ended_incomplete', reason=end.reason.value
+        )
+        self._log.write(
+            'connection:ended-incomplete',
+            failed=end.reason not in CLOSED_BY_CLIENT,
+            task=self.name,
+            **end._asdict(),
+        )
--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -30,7 +30,6 @@
     decode_call,
 )
 from bergamotshunt.platform.requests import ServerResponseInfo
-from bergamotshunt.request_log import RequestLog
 from bergamotshunt.routing import AnnouncedState, Routing, ServerEntry
 
 MS_PER_S: Final = 1000
@@ -60,7 +59,6 @@
         self._routing: Routing | None = None
         self._published_load = Load()
         self._published_slot_share: float = 0
-        self._log = RequestLog(context.clock)
         self._relay = ServerRelay(
             self._server,
             self._server_client,
@@ -144,6 +142,7 @@
         if call is None:
             exchange.respond(HTTPStatus.BAD_REQUEST, [])
             return
+        exchange.request_id = call.request_id
         self.metrics.increment('peer_requests')
         deadline_ms = self.now_ms() + call.left_ms
         try:
--- a/bergamotshunt/plugins/mesh/outbound.py
+++ b/bergamotshunt/plugins/mesh/outbound.py
@@ -28,7 +28,6 @@
     parent_id,
     read_client_request_info,
 )
-from bergamotshunt.request_log import RequestLog
 from bergamotshunt.routing import Routing
 
 MS_PER_S: Final = 1000
@@ -57,7 +56,6 @@
         self._routing: Routing | None = None
         self._refusing = False
         self._running_by_request_id: Counter[str] = Counter()
-        self._log = RequestLog(context.clock)
         self._used_services: set[str] = set()
         extra_attempt_bound = ExtraAttemptBound(
             bounds.retry_ratio,
@@ -131,6 +129,7 @@
     async def serve(self, exchange: Exchange) -> None:
         """Forward a request of a client."""
         info = read_client_request_info(exchange.head)
+        exchange.request_id = info.request_id
         if not info.host or not info.request_id:
             self._reject(exchange, info, HTTPStatus.BAD_REQUEST)
             return
