End a drain when the responses are sent, not when their handlers end

Cause: Listener.wait_until_idle waited for handlers. A handler ends when the transport has its last bytes; kernel.stop then aborted the connection and the event loop dropped up to 64 KiB that were still unsent.

The listener waits until each connection that is busy has no response due, none unsent, and is not lingering. After all tasks have drained, the new step Task.finish hands over the last responses of every listener at once; 0.2 s of the drain are reserved for it, so that acknowledgements and readiness responses are sent also when a request holds the drain up to its end. What is left then is aborted, and logged. A request behind an announced last response is no longer started.

The lingering close also mends a second fault of the same cause: a response before the request body had arrived, with 'Connection: close', was reset by the unread bytes.

--- a/bergamotshunt/http/connection_ends.py
+++ b/bergamotshunt/http/connection_ends.py
@@ -16,6 +16,7 @@
         TIMEOUT: The deadline of a request passed within its response.
         RESPONSE_CUT: The source of a response failed within the response.
         HANDLER_FAILED: The handler of a request failed within the response.
+        STALLED: The client took no more bytes of the last response.
         SHUTDOWN: The listener closed.
     """
 
@@ -27,6 +28,7 @@
     TIMEOUT = 'timeout'
     RESPONSE_CUT = 'response-cut'
     HANDLER_FAILED = 'handler-failed'
+    STALLED = 'stalled'
     SHUTDOWN = 'shutdown'
 
 
--- /dev/null
+++ b/bergamotshunt/http/lingering_close.py
@@ -0,0 +1,74 @@
+"""Orderly close of a connection: flush, half-close, wait for the peer."""
+
+from asyncio import TimerHandle, Transport, get_running_loop
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Final
+
+from bergamotshunt.decisions.connection_closing import closing_deadline_s
+
+CHECK_INTERVAL_S: Final = 0.25
+
+
+class LingeringClose:
+    """Closes a connection once its peer has received all bytes.
+
+    The transport sends what is buffered and the end of the stream, while
+    its protocol discards what the peer still sends. The connection closes
+    when the peer closes its side, or when ``closing_deadline_s`` has passed.
+
+    Args:
+        transport: Transport of the connection, which is not closing yet.
+        sent_s: Loop time at which bytes were last sent, in seconds.
+        on_stall: Called when the peer takes no more bytes.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        sent_s: float,
+        on_stall: Callable[[], None],
+    ) -> None:
+        """Send the end of the stream after all buffered bytes."""
+        self._transport = transport
+        self._on_stall = on_stall
+        self._timer: TimerHandle | None = None
+        self._unsent_bytes = transport.get_write_buffer_size()
+        self._progress_s = sent_s
+        if self._unsent_bytes:
+            self._progress_s = get_running_loop().time()
+        # With a limit of 0, resume_writing reports that all is sent.
+        transport.set_write_buffer_limits(0)
+        with suppress(OSError):
+            # The peer may have reset the connection already.
+            transport.write_eof()
+        transport.resume_reading()
+        self._check()
+
+    def record_flush(self) -> None:
+        """Start to wait for the peer to close its side."""
+        self._unsent_bytes = 0
+        self._progress_s = get_running_loop().time()
+
+    def cancel(self) -> None:
+        """Stop the timer: the connection is closed."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _check(self) -> None:
+        loop = get_running_loop()
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes < self._unsent_bytes:
+            self._progress_s = loop.time()
+        self._unsent_bytes = unsent_bytes
+        wait_s = (
+            closing_deadline_s(unsent_bytes, self._progress_s) - loop.time()
+        )
+        if wait_s > 0:
+            self._timer = loop.call_later(
+                min(wait_s, CHECK_INTERVAL_S), self._check
+            )
+        elif unsent_bytes:
+            self._on_stall()
+        else:
+            self._transport.close()
--- a/bergamotshunt/http/listeners.py
+++ b/bergamotshunt/http/listeners.py
@@ -58,7 +58,7 @@
         self.running = 0
         self._handler = handler
         self._server: Server | None = None
-        self._request_ended = Event()
+        self._progress = Event()
 
     async def open(self, ip: str, port: int) -> int:
         """Start to listen.
@@ -97,19 +97,36 @@
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
+    def report_progress(self) -> None:
+        """Report that a connection may have become idle."""
+        self._progress.set()
+
     async def wait_until_idle(self) -> None:
-        """Wait until no handler runs."""
-        while self.running:
-            self._request_ended.clear()
-            await self._request_ended.wait()
+        """Wait until the connections that are busy now have been idle.
+
+        A connection is idle when no response is due and all are sent. Later
+        requests do not prolong the wait.
+        """
+        busy = self._busy_connections()
+        for connection in busy:
+            connection.watch_flush()
+        while busy:
+            self._progress.clear()
+            await self._progress.wait()
+            busy &= self._busy_connections()
 
     async def close(self) -> None:
-        """Stop listening and reset all connections."""
+        """Stop listening and abort all connections."""
         if self._server is not None:
             self._server.close()
         for connection in tuple(self.connections):
             connection.abort(CloseReason.SHUTDOWN)
 
+    def _busy_connections(self) -> set[ServerConnection]:
+        return {
+            connection for connection in self.connections if connection.busy
+        }
+
     async def _run(self, exchange: Exchange) -> None:
         self.running += 1
         try:
@@ -121,4 +138,3 @@
             exchange.fail(HTTPStatus.BAD_GATEWAY, [])
         finally:
             self.running -= 1
-            self._request_ended.set()
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -17,6 +17,7 @@
 )
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.heads import Header, RequestHead
+from bergamotshunt.http.lingering_close import LingeringClose
 from bergamotshunt.http.sockets import format_address, set_socket_options
 from bergamotshunt.routing import ClientLimits
 
@@ -49,6 +50,9 @@
     def start_handler(self, exchange: Exchange) -> 'AsyncioTask[None]':
         """Start the handler of a request in a task."""
 
+    def report_progress(self) -> None:
+        """Report that a connection may have become idle."""
+
 
 class ServerConnection(AsyncioProtocol):
     """A client's connection; the handler of each request runs in a task."""
@@ -72,6 +76,7 @@
         self._pause_count: int = 0
         self._rejecting = False
         self._client = ''
+        self._lingering_close: LingeringClose | None = None
         self._close_reason: CloseReason | None = None
         self._is_aborted = False
         self._unsent_bytes = 0
@@ -90,7 +95,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject malformed and too large heads."""
-        if self._rejecting:
+        if self._rejecting or self._ignores_requests():
             return
         if self._arriving is None or not self._arriving.head.method:
             self._head_bytes += len(data)
@@ -114,12 +119,11 @@
         self._can_write.set()
         self._next_response_changed.set()
         self._report_end(exc)
-        for exchange in self._exchanges:
-            exchange.body.mark_incomplete('the client closed its connection')
-            if exchange.task is not None:
-                exchange.task.cancel()
-        self._exchanges.clear()
+        if self._lingering_close is not None:
+            self._lingering_close.cancel()
+        self._cancel_exchanges('the client closed its connection')
         self._transport = None
+        self._listener.report_progress()
 
     def pause_writing(self) -> None:
         """Stop writing responses: the client does not read."""
@@ -130,6 +134,9 @@
         """Resume writing responses."""
         self._can_write.set()
         self._unsent_bytes = self._count_unsent_bytes()
+        if self._lingering_close is not None and not self._unsent_bytes:
+            self._lingering_close.record_flush()
+        self._listener.report_progress()
 
     # Parser callbacks
 
@@ -138,7 +145,8 @@
         self._headers = []
         self._target = b''
         self._head_start_s = self._listener.now_s()
-        self._arriving = Exchange(self)
+        if not self._ignores_requests():
+            self._arriving = Exchange(self)
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
@@ -196,6 +204,20 @@
             1, len(self._exchanges), self._count_unsent_bytes()
         )
 
+    @property
+    def busy(self) -> bool:
+        """Whether a response is due, unsent, or maybe not received yet."""
+        return (
+            bool(self._exchanges)
+            or self._lingering_close is not None
+            or self._count_unsent_bytes() > 0
+        )
+
+    def watch_flush(self) -> None:
+        """Report progress once all written bytes are sent."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.set_write_buffer_limits(0)
+
     # Interface for exchanges
 
     def is_next_response(self, exchange: Exchange) -> bool:
@@ -210,7 +232,7 @@
 
     def transmit(self, chunk: bytes) -> None:
         """Write bytes to the client."""
-        if self._transport is not None:
+        if self._transport is not None and self._lingering_close is None:
             self._transport.write(chunk)
 
     def flush(self) -> None:
@@ -219,6 +241,7 @@
             if not self._flush_response(self._exchanges[0]):
                 return
         self._idle_since_s = self._listener.now_s()
+        self._listener.report_progress()
         if self._listener.closing and self._listener.closing_idle:
             self._close(CloseReason.SHUTDOWN)
 
@@ -236,6 +259,8 @@
         self._pause_count += -1 if reading else 1
         if self._transport is None or self._transport.is_closing():
             return
+        if self._lingering_close is not None:
+            return
         if self._pause_count > 0:
             self._transport.pause_reading()
         else:
@@ -250,8 +275,10 @@
             self._transport.abort()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless it has a request."""
-        if not self._exchanges and self._arriving is None:
+        """Close the connection unless a response is due."""
+        if self._exchanges:
+            self.flush()
+        elif self._arriving is None:
             self._close(CloseReason.SHUTDOWN)
 
     # Internals
@@ -270,13 +297,15 @@
             # The response was sent before the request body had arrived; the
             # client is still sending it.
             exchange.body.discard()
-            if not exchange.closing:
+            if not (exchange.closing or self._listener.closing_idle):
                 return False
+            exchange.closing = True
         self._exchanges.popleft()
         self._last_request_id = exchange.request_id
         self._next_response_changed.set()
         self._next_response_changed = Event()
         if exchange.closing:
+            self._idle_since_s = self._listener.now_s()
             self._close(CloseReason.LAST_RESPONSE)
             return False
         if len(self._exchanges) == MAX_PIPELINED_REQUESTS:
@@ -299,7 +328,7 @@
         )
 
     def _reject(self, status: HTTPStatus) -> None:
-        if self._rejecting:
+        if self._rejecting or self._lingering_close is not None:
             return
         exchange = self._arriving or Exchange(self)
         if exchange not in self._exchanges:
@@ -320,9 +349,35 @@
             exchange.respond(status, [])
 
     def _close(self, reason: CloseReason) -> None:
-        if self._transport is not None:
-            self._record_close(reason)
-            self._transport.close()
+        """Send what is buffered and close once the client has it."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._lingering_close is not None:
+            return
+        self._record_close(reason)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._lingering_close = LingeringClose(
+            self._transport,
+            self._idle_since_s,
+            lambda: self.abort(CloseReason.STALLED),
+        )
+
+    def _ignores_requests(self) -> bool:
+        """Whether the last response of the connection is announced."""
+        if self._lingering_close is not None:
+            return True
+        if not self._exchanges:
+            return False
+        last = self._exchanges[-1]
+        return last.closing and last.body.complete
+
+    def _cancel_exchanges(self, reason: str) -> None:
+        for exchange in self._exchanges:
+            exchange.body.mark_incomplete(reason)
+            if exchange.task is not None:
+                exchange.task.cancel()
+        self._exchanges.clear()
 
     def _record_close(self, reason: CloseReason) -> None:
         """Keep the first reason, and the number of bytes unsent now."""
--- a/bergamotshunt/kernel.py
+++ b/bergamotshunt/kernel.py
@@ -10,7 +10,7 @@
     gather,
     get_running_loop,
     timeout,
-    wait_for,
+    timeout_at,
 )
 from asyncio import Task as AsyncioTask
 from collections import defaultdict
@@ -32,6 +32,8 @@
 
 MAX_MAILBOX_MESSAGES: Final = 10_000
 ASK_TIMEOUT_S: Final = 10
+# Part of the drain that is reserved for the last responses.
+FINISH_TIME_S: Final = 0.2
 
 Handler = Callable[[Any, Any], Any]
 HandlerType = TypeVar('HandlerType', bound=Handler)
@@ -207,6 +209,9 @@
     async def drain(self) -> None:
         """Refuse new requests and wait for those in flight."""
 
+    async def finish(self) -> None:
+        """Send the last responses; all tasks have drained."""
+
     async def close(self) -> None:
         """Close sockets; the base class cancels all children."""
         for child in tuple(self._children):
@@ -334,7 +339,7 @@
         log_event('daemon:started', daemon=self.context.settings.daemon.id)
 
     async def drain(self, timeout_s: float) -> bool:
-        """Drain all tasks.
+        """Drain all tasks, then let them send their last responses.
 
         Args:
             timeout_s: Longest wait for requests in flight.
@@ -342,14 +347,16 @@
         Returns:
             Whether all requests in flight ended in time.
         """
-        draining = gather(
-            *(task.drain() for task in self.tasks_by_name.values()),
+        end_s = get_running_loop().time() + timeout_s
+        tasks = self.tasks_by_name.values()
+        is_drained = await _end_all_by(
+            end_s - min(FINISH_TIME_S, timeout_s / 2),
+            [task.drain() for task in tasks],
         )
-        try:
-            await wait_for(draining, timeout_s)
-        except TimeoutError:
-            return False
-        return True
+        is_finished = await _end_all_by(
+            end_s, [task.finish() for task in tasks]
+        )
+        return is_drained and is_finished
 
     async def stop(self) -> None:
         """Close all tasks in reverse order and end their loops."""
@@ -368,3 +375,20 @@
     def _on_runner_end(self, runner: AsyncioTask[None]) -> None:
         if not runner.cancelled():
             self.failed.set()
+
+
+async def _end_all_by(
+    end_s: float,
+    coroutines: list[Coroutine[Any, Any, None]],
+) -> bool:
+    """Run coroutines until they end, or cancel them at a loop time.
+
+    Returns:
+        Whether all of them ended in time.
+    """
+    try:
+        async with timeout_at(end_s):
+            await gather(*coroutines)
+    except TimeoutError:
+        return False
+    return True
--- a/bergamotshunt/mesh_task.py
+++ b/bergamotshunt/mesh_task.py
@@ -96,8 +96,17 @@
         """Listen on the address."""
         await self._listener.open(self._address.ip, self._address.port)
 
+    async def drain(self) -> None:
+        """Close each connection after its next response from now on."""
+        self._listener.close_after_responses()
+
+    async def finish(self) -> None:
+        """Close idle connections and wait until the others are idle."""
+        self._listener.close_idle()
+        await self._listener.wait_until_idle()
+
     async def close(self) -> None:
-        """Stop listening and end all connections."""
+        """Stop listening and abort the connections that are left."""
         await self._listener.close()
         await super().close()
 
--- /dev/null
+++ b/bergamotshunt/tests/test_mesh_shutdown.py
@@ -0,0 +1,252 @@
+"""Tests of responses that are still unsent when a daemon stops."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from bergamotshunt.daemon import create_runner
+from bergamotshunt.decisions import connection_closing
+from bergamotshunt.http.connection_ends import CloseReason, ConnectionEnd
+from bergamotshunt.http.exchanges import Exchange
+from bergamotshunt.http.listeners import Listener
+from bergamotshunt.mesh_task import ListeningTask
+from bergamotshunt.peers.peer_calls import CALL_HEADER, PeerCall, encode_call
+from bergamotshunt.platform.names import REQUEST_ID
+from bergamotshunt.plugins.mesh import inbound, outbound
+from bergamotshunt.tests.mesh import Mesh
+from bergamotshunt.tests.slow_client import (
+    LARGE_CONTENT,
+    SlowClient,
+    shrink_send_buffers,
+)
+from standins.mesh_server import MeshServer
+
+DRAIN_TIMEOUT_S = 20.0
+RUNNERS = (asyncio.Runner, create_runner)
+REQUEST = b'GET /a HTTP/1.1\r\nHost: x\r\n\r\n'
+
+
+def content_of(response: bytes) -> bytes:
+    return response.partition(b'\r\n\r\n')[2]
+
+
+class LargeResponder:
+    """Handler of a listener that responds with a large body.
+
+    Attributes:
+        ended: Set when a handler has ended.
+        ends: Ends of the listener's connections.
+    """
+
+    def __init__(self) -> None:
+        self.ended = asyncio.Event()
+        self.ends: list[ConnectionEnd] = []
+        self.listener = Listener(self.serve, on_connection_end=self.ends.append)
+
+    async def serve(self, exchange: Exchange) -> None:
+        shrink_send_buffers(self.listener)
+        exchange.request_id = 'r1'
+        exchange.respond(200, [], LARGE_CONTENT)
+        self.ended.set()
+
+
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_aborted_connection_reports_unsent_bytes(
+    runner_factory: Callable[[], asyncio.Runner],
+) -> None:
+    """Guards against a cut response whose cause no log line states."""
+
+    async def run_scenario() -> list[ConnectionEnd]:
+        responder = LargeResponder()
+        port = await responder.listener.open('127.0.0.1', 0)
+        async with SlowClient('127.0.0.1', port) as client:
+            await client.send(REQUEST)
+            await responder.ended.wait()
+            await responder.listener.close()
+            await client.read_until_closed()
+        return responder.ends
+
+    with runner_factory() as runner:
+        (end,) = runner.run(run_scenario())
+    assert end.reason is CloseReason.SHUTDOWN
+    assert end.unsent_bytes > 0
+    assert end.request_id == 'r1'
+
+
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_listener_sends_responses_whose_handlers_have_ended(
+    runner_factory: Callable[[], asyncio.Runner],
+) -> None:
+    """Guards against a drain that ends before the responses are sent."""
+
+    async def run_scenario() -> bytes:
+        responder = LargeResponder()
+        port = await responder.listener.open('127.0.0.1', 0)
+        async with SlowClient('127.0.0.1', port) as client:
+            await client.send(REQUEST)
+            await responder.ended.wait()
+            reading = asyncio.create_task(client.read_until_closed())
+            responder.listener.close_idle()
+            await responder.listener.wait_until_idle()
+            await responder.listener.close()
+            return await reading
+
+    with runner_factory() as runner:
+        response = runner.run(run_scenario())
+    assert content_of(response) == LARGE_CONTENT
+
+
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_listener_gives_up_on_clients_that_do_not_read(
+    runner_factory: Callable[[], asyncio.Runner],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a drain that lasts as long as a client's silence."""
+    monkeypatch.setattr(connection_closing, 'STALL_TIMEOUT_S', 0.2)
+
+    async def run_scenario() -> list[ConnectionEnd]:
+        responder = LargeResponder()
+        port = await responder.listener.open('127.0.0.1', 0)
+        async with SlowClient('127.0.0.1', port) as client:
+            await client.send(REQUEST)
+            await responder.ended.wait()
+            responder.listener.close_idle()
+            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+                await responder.listener.wait_until_idle()
+            await responder.listener.close()
+        return responder.ends
+
+    with runner_factory() as runner:
+        (end,) = runner.run(run_scenario())
+    assert end.reason is CloseReason.STALLED
+    assert end.unsent_bytes > 0
+
+
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_listener_gives_up_on_clients_that_do_not_close(
+    runner_factory: Callable[[], asyncio.Runner],
+) -> None:
+    """Guards against a drain that waits for clients that keep connections."""
+
+    async def run_scenario() -> list[ConnectionEnd]:
+        responder = LargeResponder()
+        port = await responder.listener.open('127.0.0.1', 0)
+        async with SlowClient('127.0.0.1', port) as client:
+            await client.send(REQUEST)
+            await responder.ended.wait()
+            responder.listener.close_idle()
+            while await client.read():
+                continue
+            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+                await responder.listener.wait_until_idle()
+            await responder.listener.close()
+        return responder.ends
+
+    with runner_factory() as runner:
+        (end,) = runner.run(run_scenario())
+    assert end.complete
+
+
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_body_after_an_early_response_does_not_cut_it(
+    runner_factory: Callable[[], asyncio.Runner],
+) -> None:
+    """Guards against a close with unread bytes, which resets the connection.
+
+    The reset destroys the end of a response that is on its way.
+    """
+    body = bytes(100_000)
+    head = (
+        b'POST /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n'
+        b'Content-Length: %d\r\n\r\n' % len(body)
+    )
+
+    async def run_scenario() -> bytes:
+        responder = LargeResponder()
+        port = await responder.listener.open('127.0.0.1', 0)
+        async with SlowClient('127.0.0.1', port) as client:
+            await client.send(head)
+            await responder.ended.wait()
+            sending = asyncio.create_task(client.send(body))
+            response = await client.read_until_closed()
+            await asyncio.gather(sending, return_exceptions=True)
+        await responder.listener.close()
+        return response
+
+    with runner_factory() as runner:
+        response = runner.run(run_scenario())
+    assert content_of(response) == LARGE_CONTENT
+
+
+async def respond_large(server: MeshServer, exchange: Exchange) -> None:
+    exchange.respond(200, server.headers(exchange), LARGE_CONTENT)
+
+
+def listening_task(mesh: Mesh, name: str) -> ListeningTask:
+    task = mesh.hosts[0].kernel.tasks_by_name[name]
+    assert isinstance(task, ListeningTask)
+    return task
+
+
+def client_request() -> bytes:
+    return b'GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n%b: r1\r\n\r\n' % (
+        REQUEST_ID
+    )
+
+
+def peer_request(left_ms: float = 3000) -> bytes:
+    call = encode_call(PeerCall('r1', 'i-0', 'shop', left_ms, left_ms, 1))
+    return (
+        b'GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n'
+        b'%b: r1\r\n%b: %b\r\n\r\n' % (REQUEST_ID, CALL_HEADER, call)
+    )
+
+
+@pytest.fixture
+def short_notice(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Shorten the times in which a stopping daemon accepts requests."""
+    monkeypatch.setattr(outbound, 'ACCEPT_AFTER_STOP_S', 0.06)
+    monkeypatch.setattr(inbound, 'ACCEPT_AFTER_STOP_S', 0.03)
+    monkeypatch.setattr(inbound, 'NOT_SERVING_NOTICE_S', 0.02)
+
+
+async def read_slowly_from_stopping_daemon(
+    task_name: str, request: bytes
+) -> bytes:
+    async with Mesh([respond_large]) as mesh:
+        task = listening_task(mesh, task_name)
+        address = task._address
+        async with SlowClient(address.ip, address.port) as client:
+            await mesh.wait_until(lambda: bool(task._listener.connections))
+            shrink_send_buffers(task._listener)
+            await client.send(request)
+            await mesh.wait_until(lambda: bool(mesh.runs()))
+            kernel = mesh.hosts[0].kernel
+            reading = asyncio.create_task(client.read_until_closed())
+            assert await kernel.drain(DRAIN_TIMEOUT_S)
+            await kernel.stop()
+            return await reading
+
+
+SIDES: tuple[Any, ...] = (
+    pytest.param('outbound', client_request(), id='outbound'),
+    pytest.param('inbound', peer_request(), id='inbound'),
+)
+
+
+@pytest.mark.usefixtures('short_notice')
+@pytest.mark.parametrize(('task_name', 'request_bytes'), SIDES)
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_stopping_daemon_sends_whole_responses(
+    task_name: str,
+    request_bytes: bytes,
+    runner_factory: Callable[[], asyncio.Runner],
+) -> None:
+    """Guards against a daemon that cuts the responses to slow readers."""
+    with runner_factory() as runner:
+        response = runner.run(
+            read_slowly_from_stopping_daemon(task_name, request_bytes)
+        )
+    assert content_of(response) == LARGE_CONTENT
