Refuse peers' requests as not run once the inbound side has drained

Callers could see a cut response or 502: the inbound side can have drained 2.6 s after SIGTERM, while the outbound side drains until its last client has its response. Requests of peers that came meanwhile were still run, and kernel.stop aborted them.

Change: after the notice to peers, inbound answers a new request with the verdict not-run and the reason 'stopping', so that its sender tries another server, and keeps answering until the daemon stops. Requests that wait for a slot then were accepted before and still run.

Test before: runs of the server [b'r1'], expected [].

--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -8,7 +8,7 @@
 from bergamotshunt.backend.own_server import OwnServer
 from bergamotshunt.backend.server_client import ServerClient
 from bergamotshunt.backend.server_relay import ServerRelay
-from bergamotshunt.backend.slot_queue import RefusedError
+from bergamotshunt.backend.slot_queue import Refusal, RefusedError
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.log import log_event
@@ -57,6 +57,7 @@
         self._server = OwnServer(self.now_ms, self._publish_load)
         self._stored_entry: ServerEntry | None = None
         self._routing: Routing | None = None
+        self._refusing = False
         self._published_load = Load()
         self._published_slot_share: float = 0
         self._relay = ServerRelay(
@@ -74,12 +75,15 @@
         """Accept requests for a while, report not serving, finish the rest.
 
         Requests that are accepted before ``ACCEPT_AFTER_STOP_S`` can still
-        end before the process is killed.
+        end before the process is killed. Later ones are refused until the
+        daemon stops, because other tasks may still drain.
         """
         await sleep(ACCEPT_AFTER_STOP_S)
         self._server.stopping = True
         self._publish_load()
         await sleep(NOT_SERVING_NOTICE_S)
+        self._refusing = True
+        self._listener.close_after_responses()
         await self._listener.wait_until_idle()
 
     async def close(self) -> None:
@@ -171,6 +175,8 @@
         call: PeerCall,
         deadline_ms: float,
     ) -> None:
+        if self._refusing:
+            raise RefusedError(Refusal('stopping'))
         self._server.check_acceptance(call)
         arrived_ms = self.now_ms()
         await self._server.slot_queue.acquire(call)
--- a/bergamotshunt/tests/test_mesh_shutdown.py
+++ b/bergamotshunt/tests/test_mesh_shutdown.py
@@ -12,7 +12,13 @@
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.listeners import Listener
 from bergamotshunt.mesh_task import ListeningTask
-from bergamotshunt.peers.peer_calls import CALL_HEADER, PeerCall, encode_call
+from bergamotshunt.peers.peer_calls import (
+    CALL_HEADER,
+    RESULT_HEADER,
+    PeerCall,
+    decode_result,
+    encode_call,
+)
 from bergamotshunt.platform.names import REQUEST_ID
 from bergamotshunt.plugins.mesh import inbound, outbound
 from bergamotshunt.tests.mesh import Mesh
@@ -21,6 +27,7 @@
     SlowClient,
     shrink_send_buffers,
 )
+from bergamotshunt.verdicts import Verdict
 from standins.mesh_server import MeshServer
 
 DRAIN_TIMEOUT_S = 20.0
@@ -28,6 +35,10 @@
 REQUEST = b'GET /a HTTP/1.1\r\nHost: x\r\n\r\n'
 
 
+def header_of(response: bytes, name: bytes) -> bytes:
+    return response.partition(name + b': ')[2].partition(b'\r\n')[0]
+
+
 def content_of(response: bytes) -> bytes:
     return response.partition(b'\r\n\r\n')[2]
 
@@ -250,3 +261,29 @@
             read_slowly_from_stopping_daemon(task_name, request_bytes)
         )
     assert content_of(response) == LARGE_CONTENT
+
+
+@pytest.mark.usefixtures('short_notice')
+def test_drained_inbound_refuses_requests_as_not_run() -> None:
+    """Guards against runs that the end of the daemon would cut.
+
+    The inbound side has drained, while the outbound side still does.
+    """
+
+    async def run_scenario() -> None:
+        async with Mesh([respond_large]) as mesh:
+            inbound_task = listening_task(mesh, 'inbound')
+            await inbound_task.drain()
+            address = inbound_task._address
+            async with SlowClient(address.ip, address.port) as client:
+                await client.send(peer_request())
+                response = await client.read_until_closed()
+            assert mesh.runs() == []
+            assert response.startswith(b'HTTP/1.1 503')
+            result = decode_result(header_of(response, RESULT_HEADER))
+            assert result is not None
+            assert result.verdict is Verdict.NOT_RUN
+            assert result.reason == 'stopping'
+
+    with create_runner() as runner:
+        runner.run(run_scenario())
