Limit the patience with a client that does not read only while stopping

The limit of 1.5 s without progress of an orderly close held at all times, so that a client that asks for 'Connection: close' and pauses could have lost the end of its response. It holds now while the daemon stops; at other times the idle timeout of the configuration does.

--- a/bergamotshunt/decisions/connection_closing.py
+++ b/bergamotshunt/decisions/connection_closing.py
@@ -2,21 +2,38 @@
 
 from typing import Final
 
-# A peer that takes no byte of a response for this time is treated as lost.
-STALL_TIMEOUT_S: Final = 1.5
+# While the daemon stops, a peer that takes no byte of a response for this time
+# is treated as lost, so that it does not delay the next start.
+DRAIN_STALL_TIMEOUT_S: Final = 1.5
 # Time for a peer to close its side once all responses are sent. Closing with
 # unread bytes resets the connection, which can destroy the end of a response
 # on its way, so received bytes are read and discarded meanwhile.
 LINGER_TIMEOUT_S: Final = 0.5
 
 
-def closing_deadline_s(unsent_bytes: int, progress_s: float) -> float:
+def stall_timeout_s(idle_timeout_s: float, *, draining: bool) -> float:
+    """Return how long a peer may take no bytes of a response, in seconds.
+
+    Args:
+        idle_timeout_s: Time without a request after which a connection is
+            closed, in seconds.
+        draining: Whether the daemon stops.
+    """
+    return DRAIN_STALL_TIMEOUT_S if draining else idle_timeout_s
+
+
+def closing_deadline_s(
+    unsent_bytes: int,
+    progress_s: float,
+    stall_s: float,
+) -> float:
     """Return when a closing connection is closed without the peer's help.
 
     Args:
         unsent_bytes: Response bytes that the system has not accepted yet.
         progress_s: Time at which the system last accepted some, in seconds.
+        stall_s: How long the peer may take no bytes, in seconds.
     """
     if unsent_bytes:
-        return progress_s + STALL_TIMEOUT_S
+        return progress_s + stall_s
     return progress_s + LINGER_TIMEOUT_S
--- a/bergamotshunt/http/lingering_close.py
+++ b/bergamotshunt/http/lingering_close.py
@@ -20,6 +20,8 @@
     Args:
         transport: Transport of the connection, which is not closing yet.
         sent_s: Loop time at which bytes were last sent, in seconds.
+        stall_timeout_s: Returns how long the peer may take no bytes now, in
+            seconds.
         on_stall: Called when the peer takes no more bytes.
     """
 
@@ -27,10 +29,12 @@
         self,
         transport: Transport,
         sent_s: float,
+        stall_timeout_s: Callable[[], float],
         on_stall: Callable[[], None],
     ) -> None:
         """Send the end of the stream after all buffered bytes."""
         self._transport = transport
+        self._stall_timeout_s = stall_timeout_s
         self._on_stall = on_stall
         self._timer: TimerHandle | None = None
         self._unsent_bytes = transport.get_write_buffer_size()
@@ -61,9 +65,10 @@
         if unsent_bytes < self._unsent_bytes:
             self._progress_s = loop.time()
         self._unsent_bytes = unsent_bytes
-        wait_s = (
-            closing_deadline_s(unsent_bytes, self._progress_s) - loop.time()
+        deadline_s = closing_deadline_s(
+            unsent_bytes, self._progress_s, self._stall_timeout_s()
         )
+        wait_s = deadline_s - loop.time()
         if wait_s > 0:
             self._timer = loop.call_later(
                 min(wait_s, CHECK_INTERVAL_S), self._check
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -10,6 +10,7 @@
 
 from httptools import HttpParserError, HttpRequestParser
 
+from bergamotshunt.decisions.connection_closing import stall_timeout_s
 from bergamotshunt.http.connection_ends import (
     CloseReason,
     ConnectionEnd,
@@ -360,9 +361,17 @@
         self._lingering_close = LingeringClose(
             self._transport,
             self._idle_since_s,
+            self._stall_timeout_s,
             lambda: self.abort(CloseReason.STALLED),
         )
 
+    def _stall_timeout_s(self) -> float:
+        listener = self._listener
+        return stall_timeout_s(
+            listener.limits.idle_timeout_ms / MS_PER_S,
+            draining=listener.closing,
+        )
+
     def _ignores_requests(self) -> bool:
         """Whether the last response of the connection is announced."""
         if self._lingering_close is not None:
--- a/bergamotshunt/tests/test_mesh_shutdown.py
+++ b/bergamotshunt/tests/test_mesh_shutdown.py
@@ -115,7 +115,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a drain that lasts as long as a client's silence."""
-    monkeypatch.setattr(connection_closing, 'STALL_TIMEOUT_S', 0.2)
+    monkeypatch.setattr(connection_closing, 'DRAIN_STALL_TIMEOUT_S', 0.2)
 
     async def run_scenario() -> list[ConnectionEnd]:
         responder = LargeResponder()
