Test that a drain overlooks no request and no response of the daemon

Two more paths of the fault that the orderly close mends: a request that was read, but whose handler task has not run yet, and responses of the control, readiness and metrics listeners that are unsent when these close.

--- a/bergamotshunt/tests/test_mesh_shutdown.py
+++ b/bergamotshunt/tests/test_mesh_shutdown.py
@@ -287,3 +287,82 @@
 
     with create_runner() as runner:
         runner.run(run_scenario())
+
+
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_drain_waits_for_requests_whose_handlers_have_not_started(
+    runner_factory: Callable[[], asyncio.Runner],
+) -> None:
+    """Guards against a drain that overlooks a request that was just read.
+
+    Its handler task is created, but has not run yet.
+    """
+
+    async def run_scenario() -> bytes:
+        responder = LargeResponder()
+        listener = responder.listener
+        port = await listener.open('127.0.0.1', 0)
+        stopping: list[asyncio.Task[None]] = []
+
+        async def stop() -> None:
+            listener.close_idle()
+            await listener.wait_until_idle()
+            await listener.close()
+
+        def start_handler(exchange: Exchange) -> asyncio.Task[None]:
+            stopping.append(asyncio.create_task(stop()))
+            return Listener.start_handler(listener, exchange)
+
+        listener.start_handler = start_handler  # type: ignore[method-assign]
+        async with SlowClient('127.0.0.1', port) as client:
+            await client.send(REQUEST)
+            response = await client.read_until_closed()
+        await asyncio.gather(*stopping)
+        return response
+
+    with runner_factory() as runner:
+        response = runner.run(run_scenario())
+    assert content_of(response) == LARGE_CONTENT
+
+
+@pytest.mark.usefixtures('short_notice')
+@pytest.mark.parametrize('task_name', ['control', 'readiness', 'metrics'])
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_stopping_daemon_sends_its_own_responses(
+    task_name: str,
+    runner_factory: Callable[[], asyncio.Runner],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against lost acknowledgements and readiness responses.
+
+    The response is unsent when the listener of the task closes.
+    """
+    responded: list[str] = []
+
+    async def serve(task: ListeningTask, exchange: Exchange) -> None:
+        exchange.respond(200, [], LARGE_CONTENT)
+        responded.append(task.name)
+
+    async def run_scenario() -> bytes:
+        async with Mesh([respond_large]) as mesh:
+            task = listening_task(mesh, task_name)
+            monkeypatch.setattr(
+                task._listener,
+                '_handler',
+                lambda exchange: serve(task, exchange),
+            )
+            address = task._address
+            async with SlowClient(address.ip, address.port) as client:
+                await mesh.wait_until(lambda: bool(task._listener.connections))
+                shrink_send_buffers(task._listener)
+                await client.send(REQUEST)
+                await mesh.wait_until(lambda: bool(responded))
+                reading = asyncio.create_task(client.read_until_closed())
+                kernel = mesh.hosts[0].kernel
+                assert await kernel.drain(DRAIN_TIMEOUT_S)
+                await kernel.stop()
+                return await reading
+
+    with runner_factory() as runner:
+        response = runner.run(run_scenario())
+    assert content_of(response) == LARGE_CONTENT
