Write the buffered log lines when a mesh daemon ends

The lines that the reader of the output had not accepted when the process ended were lost, and with them those that explain the stop (daemon:drained, connection:ended-incomplete). The destination now waits up to 0.1 s for the reader, after the event loop has ended and within the margin before SIGKILL.

Test before: msgspec.DecodeError, the output ends within a line.

--- a/bergamotshunt/mesh_daemon.py
+++ b/bergamotshunt/mesh_daemon.py
@@ -43,6 +43,8 @@
 # The drain ends this long before SIGKILL, so that the kernel can still stop.
 SIGKILL_MARGIN_S: Final = 0.6
 DESCRIBE_TIMEOUT_S: Final = 0.1
+# Longest wait for the reader of the log when the process ends.
+LOG_FLUSH_TIMEOUT_S: Final = 0.1
 
 
 def run_mesh_daemon() -> int:
@@ -64,9 +66,13 @@
         return EXIT_BAD_INPUT
     match decode_settings(Path(path).read_text(encoding='utf-8')):
         case Success(settings):
-            add_destinations(NonBlockingDestination(STDOUT_DESCRIPTOR))
-            with create_runner() as runner:
-                return runner.run(_run_until_signal(settings))
+            log_lines = NonBlockingDestination(STDOUT_DESCRIPTOR)
+            add_destinations(log_lines)
+            try:
+                with create_runner() as runner:
+                    return runner.run(_run_until_signal(settings))
+            finally:
+                log_lines.flush_by(LOG_FLUSH_TIMEOUT_S)
         case Failure(errors):
             for error in errors:
                 stderr.write(f'{path}: {error}\n')
--- a/bergamotshunt/nonblocking_log.py
+++ b/bergamotshunt/nonblocking_log.py
@@ -2,11 +2,14 @@
 
 from os import set_blocking
 from os import write as write_bytes
+from select import POLLOUT, poll
+from time import monotonic
 from typing import Any, Final
 
 from msgspec.json import encode
 
 MAX_BUFFER_BYTES: Final = 65_536
+MS_PER_S: Final = 1000
 
 
 class NonBlockingDestination:
@@ -40,6 +43,22 @@
         self._buffer += b'%b\n' % encode(message, enc_hook=str)
         self._flush()
 
+    def flush_by(self, timeout_s: float) -> None:
+        """Write the buffered lines at the end of the process.
+
+        Args:
+            timeout_s: Longest wait for the reader, in seconds; lines that it
+                has not accepted then are lost.
+        """
+        end_s = monotonic() + timeout_s
+        writable = poll()
+        writable.register(self._descriptor, POLLOUT)
+        while self._buffer:
+            left_s = end_s - monotonic()
+            if left_s <= 0 or not writable.poll(left_s * MS_PER_S):
+                return
+            self._flush()
+
     def _flush(self) -> None:
         try:
             written = write_bytes(self._descriptor, self._buffer)
