--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -4,14 +4,22 @@
 from asyncio import Protocol as AsyncioProtocol
 from asyncio import Task as AsyncioTask
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final, Protocol
 
 from httptools import HttpParserError, HttpRequestParser
 
+from bergamotshunt.decisions.connection_closing import stall_timeout_s
+from bergamotshunt.http.connection_ends import (
+    CloseReason,
+    ConnectionEnd,
+    OpenConnections,
+)
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.heads import Header, RequestHead
-from bergamotshunt.http.sockets import set_socket_options
+from bergamotshunt.http.lingering_close import LingeringClose
+from bergamotshunt.http.sockets import format_address, set_socket_options
 from bergamotshunt.routing import ClientLimits
 
 MS_PER_S: Final = 1000
@@ -28,12 +36,14 @@
         connections: All open connections.
         closing: Whether connections close after their next response.
         closing_idle: Whether idle connections close at once.
+        on_connection_end: Called with the end of each connection.
     """
 
     limits: ClientLimits
     connections: 'set[ServerConnection]'
     closing: bool
     closing_idle: bool
+    on_connection_end: 'Callable[[ConnectionEnd], None]'
 
     def now_s(self) -> float:
         """Return the loop time in seconds."""
@@ -41,6 +51,9 @@
     def start_handler(self, exchange: Exchange) -> 'AsyncioTask[None]':
         """Start the handler of a request in a task."""
 
+    def report_progress(self) -> None:
+        """Report that a connection may have become idle."""
+
 
 class ServerConnection(AsyncioProtocol):
     """A client's connection; the handler of each request runs in a task."""
@@ -63,12 +76,19 @@
         self._next_response_changed = Event()
         self._pause_count: int = 0
         self._rejecting = False
+        self._client = ''
+        self._lingering_close: LingeringClose | None = None
+        self._close_reason: CloseReason | None = None
+        self._is_aborted = False
+        self._unsent_bytes = 0
+        self._last_request_id = ''
 
     # Transport callbacks
 
     def connection_made(self, transport: Any) -> None:
         """Set the socket options and start the timeout checks."""
         self._transport = transport
+        self._client = format_address(transport)
         set_socket_options(transport)
         self._idle_since_s = self._listener.now_s()
         self._listener.connections.add(self)
@@ -76,7 +96,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject malformed and too large heads."""
-        if self._rejecting:
+        if self._rejecting or self._ignores_requests():
             return
         if self._arriving is None or not self._arriving.head.method:
             self._head_bytes += len(data)
@@ -89,6 +109,7 @@
 
     def eof_received(self) -> bool:
         """Close the connection: the client has closed its side."""
+        self._record_close(CloseReason.CLIENT_CLOSED)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -98,20 +119,25 @@
             self._timer.cancel()
         self._can_write.set()
         self._next_response_changed.set()
-        for exchange in self._exchanges:
-            exchange.body.mark_incomplete('the client closed its connection')
-            if exchange.task is not None:
-                exchange.task.cancel()
-        self._exchanges.clear()
+        self._report_end(exc)
+        if self._lingering_close is not None:
+            self._lingering_close.cancel()
+        self._cancel_exchanges('the client closed its connection')
         self._transport = None
+        self._listener.report_progress()
 
     def pause_writing(self) -> None:
         """Stop writing responses: the client does not read."""
         self._can_write.clear()
+        self._unsent_bytes = self._count_unsent_bytes()
 
     def resume_writing(self) -> None:
         """Resume writing responses."""
         self._can_write.set()
+        self._unsent_bytes = self._count_unsent_bytes()
+        if self._lingering_close is not None and not self._unsent_bytes:
+            self._lingering_close.record_flush()
+        self._listener.report_progress()
 
     # Parser callbacks
 
@@ -120,7 +146,8 @@
         self._headers = []
         self._target = b''
         self._head_start_s = self._listener.now_s()
-        self._arriving = Exchange(self)
+        if not self._ignores_requests():
+            self._arriving = Exchange(self)
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
@@ -171,6 +198,27 @@
             exchange.body.finish()
         self.flush()
 
+    @property
+    def state(self) -> OpenConnections:
+        """The responses that this connection has not sent yet."""
+        return OpenConnections(
+            1, len(self._exchanges), self._count_unsent_bytes()
+        )
+
+    @property
+    def busy(self) -> bool:
+        """Whether a response is due, unsent, or maybe not received yet."""
+        return (
+            bool(self._exchanges)
+            or self._lingering_close is not None
+            or self._count_unsent_bytes() > 0
+        )
+
+    def watch_flush(self) -> None:
+        """Report progress once all written bytes are sent."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.set_write_buffer_limits(0)
+
     # Interface for exchanges
 
     def is_next_response(self, exchange: Exchange) -> bool:
@@ -185,7 +233,7 @@
 
     def transmit(self, chunk: bytes) -> None:
         """Write bytes to the client."""
-        if self._transport is not None:
+        if self._transport is not None and self._lingering_close is None:
             self._transport.write(chunk)
 
     def flush(self) -> None:
@@ -194,8 +242,9 @@
             if not self._flush_response(self._exchanges[0]):
                 return
         self._idle_since_s = self._listener.now_s()
+        self._listener.report_progress()
         if self._listener.closing and self._listener.closing_idle:
-            self._close()
+            self._close(CloseReason.SHUTDOWN)
 
     async def drain(self, exchange: Exchange) -> None:
         """Wait until the exchange may write more."""
@@ -211,20 +260,27 @@
         self._pause_count += -1 if reading else 1
         if self._transport is None or self._transport.is_closing():
             return
+        if self._lingering_close is not None:
+            return
         if self._pause_count > 0:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
 
-    def abort(self) -> None:
-        """Reset the connection."""
+    def abort(self, reason: CloseReason) -> None:
+        """Close the connection at once and drop what is unsent."""
         if self._transport is not None:
+            self._record_close(reason)
+            self._close_reason = reason
+            self._is_aborted = True
             self._transport.abort()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless it has a request."""
-        if not self._exchanges and self._arriving is None:
-            self._close()
+        """Close the connection unless a response is due."""
+        if self._exchanges:
+            self.flush()
+        elif self._arriving is None:
+            self._close(CloseReason.SHUTDOWN)
 
     # Internals
 
@@ -242,13 +298,16 @@
             # The response was sent before the request body had arrived; the
             # client is still sending it.
             exchange.body.discard()
-            if not exchange.closing:
+            if not (exchange.closing or self._listener.closing_idle):
                 return False
+            exchange.closing = True
         self._exchanges.popleft()
+        self._last_request_id = exchange.request_id
         self._next_response_changed.set()
         self._next_response_changed = Event()
         if exchange.closing:
-            self._close()
+            self._idle_since_s = self._listener.now_s()
+            self._close(CloseReason.LAST_RESPONSE)
             return False
         if len(self._exchanges) == MAX_PIPELINED_REQUESTS:
             self.set_reading(True)
@@ -270,7 +329,7 @@
         )
 
     def _reject(self, status: HTTPStatus) -> None:
-        if self._rejecting:
+        if self._rejecting or self._lingering_close is not None:
             return
         exchange = self._arriving or Exchange(self)
         if exchange not in self._exchanges:
@@ -286,13 +345,75 @@
         if exchange.task is not None:
             exchange.task.cancel()
         if exchange.started:
-            self.abort()
+            self.abort(CloseReason.REJECTED)
         elif not exchange.finished:
             exchange.respond(status, [])
 
-    def _close(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
+    def _close(self, reason: CloseReason) -> None:
+        """Send what is buffered and close once the client has it."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._lingering_close is not None:
+            return
+        self._record_close(reason)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._lingering_close = LingeringClose(
+            self._transport,
+            self._idle_since_s,
+            self._stall_timeout_s,
+            lambda: self.abort(CloseReason.STALLED),
+        )
+
+    def _stall_timeout_s(self) -> float:
+        listener = self._listener
+        return stall_timeout_s(
+            listener.limits.idle_timeout_ms / MS_PER_S,
+            draining=listener.closing,
+        )
+
+    def _ignores_requests(self) -> bool:
+        """Whether the last response of the connection is announced."""
+        if self._lingering_close is not None:
+            return True
+        if not self._exchanges:
+            return False
+        last = self._exchanges[-1]
+        return last.closing and last.body.complete
+
+    def _cancel_exchanges(self, reason: str) -> None:
+        for exchange in self._exchanges:
+            exchange.body.mark_incomplete(reason)
+            if exchange.task is not None:
+                exchange.task.cancel()
+        self._exchanges.clear()
+
+    def _record_close(self, reason: CloseReason) -> None:
+        """Keep the first reason, and the number of bytes unsent now."""
+        self._unsent_bytes = self._count_unsent_bytes()
+        if self._close_reason is None:
+            self._close_reason = reason
+
+    def _count_unsent_bytes(self) -> int:
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    def _report_end(self, error: Exception | None) -> None:
+        reason = self._close_reason or CloseReason.CONNECTION_FAILED
+        is_flushed = error is None and not self._is_aborted
+        request_id = self._last_request_id
+        if self._exchanges:
+            request_id = self._exchanges[0].request_id
+        self._listener.on_connection_end(
+            ConnectionEnd(
+                reason,
+                self._client,
+                0 if is_flushed else self._unsent_bytes,
+                len(self._exchanges),
+                request_id,
+            )
+        )
 
     def _check_timeouts(self) -> None:
         limits = self._listener.limits
@@ -307,7 +428,7 @@
         else:
             due_s = self._idle_since_s + limits.idle_timeout_ms / MS_PER_S
             if now_s >= due_s:
-                self._close()
+                self._close(CloseReason.IDLE)
                 return
         wait_s = min(due_s - now_s, limits.head_timeout_ms / MS_PER_S)
         self._timer = get_running_loop().call_later(
--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -7,6 +7,10 @@
 from bergamotshunt.routing import Routing, ServerEntry
 
 
+class DescribeConnections(NamedTuple):
+    """Request for the ``OpenConnections`` of all listeners."""
+
+
 class RoutingChanged(NamedTuple):
     """A newer configuration is in force here."""
 
