Reject entries and heartbeats with values that cannot be used

What callers saw: one odd entry in the store became a backend server (port 70000, slots -3, address 'x y'), and a heartbeat with a number of more than 64 bits or with deep nesting got 502. Afterwards load reports were not sent any more (the report loop of the loads task ended by OverflowError), the own entry was not written, and an own stored entry with slot share 1e308 made each later announcement fail with 502.

Cause: each decoder has its own list of expected errors, none of them with RecursionError, and no decoder checks the range of a value.

Change: bergamotshunt/decoding.py turns all failures of decoding into one error, which a module converts into its own; value_checks.py and check_server_entry check ranges, addresses and ports. The fleet task contains an error of one entry, counts it and logs it within a token bucket (rejected_input.py); an entry under the key of another host is logged too.

--- a/bergamotshunt/platform/announcements.py
+++ b/bergamotshunt/platform/announcements.py
@@ -1,12 +1,17 @@
 """Announcements of backend servers, and the daemons' store entries."""
 
+from reprlib import repr as short_repr
 from typing import Any, Final
 
-from msgspec import DecodeError, MsgspecError
-from msgspec.json import decode, encode
+from msgspec.json import encode
 
+from bergamotshunt.decoding import convert_malformed, decode_json
 from bergamotshunt.mesh_settings import MeshSettings
-from bergamotshunt.routing import AnnouncedState, ServerEntry
+from bergamotshunt.routing import (
+    AnnouncedState,
+    ServerEntry,
+    check_server_entry,
+)
 
 ANNOUNCEMENT_PATH_PREFIX: Final = '/-/instances/'
 READY_PATH: Final = '/-/readyz'
@@ -20,15 +25,6 @@
 }
 
 
-MALFORMED_ERRORS: Final = (
-    DecodeError,
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-)
-
-
 class AnnouncementError(ValueError):
     """An announcement or a store entry is malformed."""
 
@@ -46,28 +42,25 @@
         settings: Settings of the daemon.
 
     Raises:
-        AnnouncementError: A field is missing or has a wrong type.
+        AnnouncementError: A field is missing or has an invalid value.
     """
-    try:
-        fields = decode(body)
-        return ServerEntry(
+    with convert_malformed('malformed announcement', AnnouncementError):
+        fields = decode_json(body, 'body')
+        entry = ServerEntry(
             instance=instance,
             # "born" is the start of this incarnation, not the time at which
             # the instance id was created.
-            born_ms=_check_int('born', fields.get('born', 0)),
-            sequence=_check_int('seq', fields['seq']),
-            service=_check_text('service', fields['service']),
-            zone=_check_text('zone', fields['zone']),
+            born_ms=fields.get('born', 0),
+            sequence=fields['seq'],
+            service=fields['service'],
+            zone=fields['zone'],
             ip=settings.ip,
             inbound_port=settings.inbound.port,
-            slots=_check_int('slots', fields['slots']),
+            slots=fields['slots'],
             state=_check_state(fields['state']),
-            cold_ms=float(fields.get('cold_left_ms', 0)),
+            cold_ms=max(fields.get('cold_left_ms', 0), 0),
         )
-    except MALFORMED_ERRORS as error:
-        raise AnnouncementError(
-            f'a field is missing or invalid: {error!r}'
-        ) from error
+        return check_server_entry(entry)
 
 
 def decode_entry(content: bytes) -> ServerEntry:
@@ -76,10 +69,9 @@
     Raises:
         AnnouncementError: The entry is malformed, or not of a daemon.
     """
-    try:
-        return decode(content, type=ServerEntry)
-    except MsgspecError as error:
-        raise AnnouncementError(str(error)) from error
+    with convert_malformed('malformed entry', AnnouncementError):
+        entry: ServerEntry = decode_json(content, 'value', ServerEntry)
+        return check_server_entry(entry)
 
 
 def encode_entry(entry: ServerEntry) -> bytes:
@@ -92,20 +84,8 @@
     return ENTRY_KEY_PREFIX + ip
 
 
-def _check_int(name: str, number: Any) -> int:
-    if isinstance(number, bool) or not isinstance(number, int):
-        raise TypeError(f'{name} = {number!r}: expected an integer')
-    return number
-
-
-def _check_text(name: str, text: Any) -> str:
-    if not isinstance(text, str) or not text:
-        raise TypeError(f'{name} = {text!r}: expected a non-empty string')
-    return text
-
-
 def _check_state(name: Any) -> AnnouncedState:
-    if name not in STATE_BY_NAME:
+    if not isinstance(name, str) or name not in STATE_BY_NAME:
         expected = ' or '.join(map(repr, STATE_BY_NAME))
-        raise ValueError(f'state = {name!r}: expected {expected}')
+        raise ValueError(f'state = {short_repr(name)}: expected {expected}')
     return STATE_BY_NAME[name]
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -18,7 +18,6 @@
 from bergamotshunt.mesh_task import MeshTask
 from bergamotshunt.platform.announcements import (
     ENTRY_KEY_PREFIX,
-    AnnouncementError,
     decode_entry,
     entry_key,
 )
@@ -28,6 +27,7 @@
     StoreClient,
     StoreError,
 )
+from bergamotshunt.rejected_input import RejectedInputLog
 from bergamotshunt.routing import AnnouncedState, ServerEntry
 from bergamotshunt.store.own_entry import (
     LEASE_MS,
@@ -53,6 +53,7 @@
         super().__init__(context)
         self._store = StoreClient(self.mesh.store)
         self._known_servers = KnownServers()
+        self._rejected = RejectedInputLog(context.clock, self.metrics)
         self._published_by_instance: dict[str, ServerEntry] = {}
         self._own_server: ServerEntry | None = None
         self._slot_share: float = 0
@@ -177,8 +178,7 @@
         clock = self.context.clock
         if revision is None:
             listing = await self._store.list_items(ENTRY_KEY_PREFIX)
-            decoded = map(self._decode, listing.items)
-            entries = [entry for entry in decoded if entry is not None]
+            entries = list(filter(None, map(self._decode, listing.items)))
             self._known_servers.apply_listing(entries, clock())
             self._publish_stored_own(entries)
             self._own_entry.apply_listing(listing.items)
@@ -187,7 +187,8 @@
                 ENTRY_KEY_PREFIX, revision, WATCH_TIMEOUT_MS
             )
             for item in listing.items:
-                self._apply_change(item)
+                with self._rejected.contain('fleet:entry-failed', item.key):
+                    self._apply_change(item)
         self._publish()
         return listing.revision
 
@@ -223,16 +224,17 @@
         self._entry_changed.set()
 
     def _decode(self, item: Item) -> ServerEntry | None:
-        try:
+        """Decode an entry; log it and return None when it is unusable."""
+        with self._rejected.contain('fleet:entry-unreadable', item.key):
             entry = decode_entry(item.content or b'')
-        except AnnouncementError as error:
-            log_event(
-                'fleet:entry-unreadable',
-                key=item.key,
-                detail=str(error),
+            if entry_key(entry.ip) == item.key:
+                return entry
+            self._rejected.write(
+                'fleet:entry-misplaced',
+                item.key,
+                f'the entry is of the host {entry.ip}',
             )
-            return None
-        return entry if entry_key(entry.ip) == item.key else None
+        return None
 
     async def _run_expiry(self) -> None:
         while True:
--- a/bergamotshunt/routing.py
+++ b/bergamotshunt/routing.py
@@ -3,6 +3,16 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from bergamotshunt.value_checks import (
+    MAX_SLOTS,
+    check_header_text,
+    check_integer,
+    check_ipv4,
+    check_number,
+    check_port,
+    check_text,
+)
+
 
 class RequestKind(StrEnum):
     """Kind of the requests of a route, which decides if they may run twice.
@@ -151,3 +161,23 @@
     state: AnnouncedState
     cold_ms: float = 0
     slot_share: float = 0
+
+
+def check_server_entry(entry: ServerEntry) -> ServerEntry:
+    """Check an entry that another writer may have produced.
+
+    Raises:
+        ValueError: A value is not allowed.
+    """
+    return entry._replace(
+        instance=check_header_text('instance', entry.instance),
+        born_ms=check_integer('start time', entry.born_ms),
+        sequence=check_integer('sequence', entry.sequence),
+        service=check_header_text('service', entry.service),
+        zone=check_text('zone', entry.zone),
+        ip=check_ipv4('ip', entry.ip),
+        inbound_port=check_port('port', entry.inbound_port),
+        slots=check_integer('slots', entry.slots, 1, MAX_SLOTS),
+        cold_ms=check_number('warm-up time', entry.cold_ms),
+        slot_share=check_number('slot share', entry.slot_share, 0, 1),
+    )
