Keep following the configuration after one that cannot be read

What callers saw: after one odd configuration (nested 100,000 deep, or a list where an object belongs) the daemon never applied a later version, from the store; one fetched from a peer failed the handler.

Cause: RecursionError and AttributeError are in none of the expected errors of decode_configuration, so the watch loop of the routes task ended. Types of host, prefix, service and health path, and the ranges of numbers (NaN, 1e300) were not checked at all and would have failed each request later.

Change: decode_configuration uses decoding.py and check_routing; the routes task contains, counts and logs the error of one configuration.

--- a/bergamotshunt/platform/configuration.py
+++ b/bergamotshunt/platform/configuration.py
@@ -2,9 +2,7 @@
 
 from typing import Any, Final
 
-from msgspec import DecodeError
-from msgspec.json import decode
-
+from bergamotshunt.decoding import convert_malformed, decode_json
 from bergamotshunt.routing import (
     ClientLimits,
     RequestKind,
@@ -12,12 +10,12 @@
     Routing,
     ServiceConfig,
     WeightedService,
+    check_routing,
 )
 
 CONFIGURATION_KEY: Final = 'op/config'
 DEFAULT_TIMEOUT_MS: Final = 1000
 DEFAULT_PRIORITY: Final = 9
-MALFORMED_ERRORS: Final = (DecodeError, KeyError, TypeError, ValueError)
 
 
 class ConfigurationError(ValueError):
@@ -30,16 +28,12 @@
     Raises:
         ConfigurationError: The document is malformed.
     """
-    try:
-        return _decode(document)
-    except MALFORMED_ERRORS as error:
-        raise ConfigurationError(
-            f'a field is missing or invalid: {error!r}'
-        ) from error
+    with convert_malformed('malformed configuration', ConfigurationError):
+        return check_routing(_decode(document))
 
 
 def _decode(document: bytes) -> Routing:
-    content = decode(document)
+    content = decode_json(document, 'value')
     routes: dict[str, list[Route]] = {}
     services_by_name = {}
     limits = ClientLimits()
--- a/bergamotshunt/plugins/mesh/routes.py
+++ b/bergamotshunt/plugins/mesh/routes.py
@@ -17,7 +17,6 @@
 from bergamotshunt.peers.peer_calls import CONFIGURATION_PATH
 from bergamotshunt.platform.configuration import (
     CONFIGURATION_KEY,
-    ConfigurationError,
     decode_configuration,
 )
 from bergamotshunt.platform.store import (
@@ -26,6 +25,7 @@
     StoreClient,
     StoreError,
 )
+from bergamotshunt.rejected_input import RejectedInputLog
 
 WATCH_TIMEOUT_MS: Final = 20_000
 RETRY_DELAY_S: Final = 0.4
@@ -47,6 +47,7 @@
         """Create the task of a daemon without a configuration."""
         super().__init__(context)
         self._store = StoreClient(self.mesh.store)
+        self._rejected = RejectedInputLog(context.clock, self.metrics)
         self._version = 0
         self._applied_s = self.context.clock()
         self._newest_known_version = 0
@@ -120,14 +121,15 @@
     def _apply_items(self, items: tuple[Item, ...]) -> None:
         for item in items:
             if item.key == CONFIGURATION_KEY and item.content is not None:
-                self._apply(item.content, 'store')
+                self._apply_contained(item.content, 'store')
+
+    def _apply_contained(self, document: bytes, source: str) -> None:
+        """Apply a configuration; log it when it is unusable."""
+        with self._rejected.contain('routes:unreadable', source):
+            self._apply(document, source)
 
     def _apply(self, document: bytes, source: str) -> None:
-        try:
-            routing = decode_configuration(document)
-        except ConfigurationError as error:
-            log_event('routes:unreadable', source=source, detail=str(error))
-            return
+        routing = decode_configuration(document)
         if routing.version <= self._version:
             return
         log_event(
@@ -158,7 +160,7 @@
         finally:
             pool.close()
         if response.head.status == HTTPStatus.OK:
-            self._apply(response.content, ip)
+            self._apply_contained(response.content, ip)
 
 
 @MESH_PLUGINS.register('routes')
--- a/bergamotshunt/routing.py
+++ b/bergamotshunt/routing.py
@@ -1,18 +1,25 @@
 """Routes, services and limits from the operator's configuration."""
 
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
-from bergamotshunt.value_checks import (
+# Each field has the check of its kind.
+from bergamotshunt.value_checks import (  # noqa: WPS235
+    MAX_INTEGER,
     MAX_SLOTS,
     check_header_text,
     check_integer,
     check_ipv4,
     check_number,
+    check_path,
     check_port,
+    check_string,
     check_text,
 )
 
+# Bytes or milliseconds; as a time, it is about 35 years.
+MAX_LIMIT: Final = 2**40
+
 
 class RequestKind(StrEnum):
     """Kind of the requests of a route, which decides if they may run twice.
@@ -163,6 +170,37 @@
     slot_share: float = 0
 
 
+def check_routing(routing: Routing) -> Routing:
+    """Check a configuration that another writer may have produced.
+
+    Raises:
+        ValueError: A value is not allowed.
+    """
+    check_integer('version', routing.version)
+    for routes in routing.routes_by_host.values():
+        for route in routes:
+            _check_route(route)
+    for service in routing.services_by_name.values():
+        check_path('health path', service.health_path)
+        check_integer('connections', service.connections)
+    for name, limit in routing.limits._asdict().items():
+        check_integer(name, limit, maximum=MAX_LIMIT)
+    return routing
+
+
+def _check_route(route: Route) -> None:
+    # An unusual host or prefix matches no request and does no harm.
+    check_string('host', route.host)
+    check_string('prefix', route.prefix)
+    check_number('timeout', route.timeout_ms)
+    check_number('latency objective', route.latency_objective_ms)
+    check_integer('priority', route.priority, -MAX_INTEGER)
+    check_integer('attempts', route.attempts)
+    for service in route.weighted_services:
+        check_header_text('service', service.service)
+        check_number('weight', service.weight)
+
+
 def check_server_entry(entry: ServerEntry) -> ServerEntry:
     """Check an entry that another writer may have produced.
 
--- a/bergamotshunt/value_checks.py
+++ b/bergamotshunt/value_checks.py
@@ -88,6 +88,17 @@
     return text
 
 
+def check_string(name: str, text: Any) -> str:
+    """Check that a value is a text, which may be empty.
+
+    Raises:
+        ValueError: It is no text.
+    """
+    if not isinstance(text, str):
+        raise ValueError(f'{name} = {short_repr(text)}: expected a text')
+    return text
+
+
 def check_text(name: str, text: Any) -> str:
     """Check a text of one line that must not be empty.
 
@@ -103,6 +114,22 @@
     return str(text)
 
 
+def check_path(name: str, text: Any) -> str:
+    """Check the path of a request, or the start of one.
+
+    Raises:
+        ValueError: It does not start with a slash, or has spaces, control
+            characters or characters beyond ASCII.
+    """
+    check_text(name, text)
+    if not text.startswith('/') or not text.isascii() or ' ' in text:
+        raise ValueError(
+            f'{name} = {short_repr(text)}: expected an ASCII path without '
+            'spaces that starts with "/"'
+        )
+    return str(text)
+
+
 def check_header_text(name: str, text: Any) -> str:
     """Check a text that is sent in a header.
 
