Keep reporting the load after a datagram that cannot be used

What callers saw: one datagram with a subscription for 'x y' ended the loop that sends load reports (uvloop raises ValueError for an address that is no IP number; asyncio closes the socket for a port out of range), so all other daemons lost the load of this server. A report with NaN, negative or huge numbers was taken over into the choice of a server, and an entry with port 70000 or address 'x y' became a backend server.

Cause: decode_load_datagram checks types but no values, and does not expect RecursionError; the loops send to any address that was received.

Change: decode_load_datagram uses decoding.py and checks loads, forecasts, versions, entries and addresses; it raises LoadDatagramError with a reason, which the loads task counts and logs within a token bucket. An error of one address while sending is contained too.

--- a/bergamotshunt/backend/loads.py
+++ b/bergamotshunt/backend/loads.py
@@ -2,17 +2,28 @@
 
 from typing import Final, NamedTuple
 
-from msgspec import MsgspecError
-from msgspec.msgpack import decode, encode
+from msgspec.msgpack import encode
 
 from bergamotshunt.decisions.pace_forecasts import PaceForecast
-from bergamotshunt.routing import ServerEntry
+from bergamotshunt.decoding import convert_malformed, decode_msgpack
+from bergamotshunt.routing import ServerEntry, check_server_entry
+from bergamotshunt.value_checks import (
+    MAX_PACE,
+    check_header_text,
+    check_integer,
+    check_ipv4,
+    check_number,
+)
 
 BASELINE_PACE: Final = 1.0
 # A relative change of the pace above this is reported at once.
 URGENT_PACE_CHANGE_SHARE: Final = 0.2
 
 
+class LoadDatagramError(ValueError):
+    """A load datagram is malformed."""
+
+
 class Load(NamedTuple):
     """Load of a backend server, as observed by its daemon.
 
@@ -80,12 +91,58 @@
     return encode(datagram)
 
 
-def decode_load_datagram(content: bytes) -> LoadDatagram | None:
-    """Decode a load datagram; None when malformed."""
-    try:
-        return decode(content, type=LoadDatagram)
-    except MsgspecError:
-        return None
+def decode_load_datagram(content: bytes) -> LoadDatagram:
+    """Decode a load datagram.
+
+    Raises:
+        LoadDatagramError: It is malformed.
+    """
+    with convert_malformed('malformed load datagram', LoadDatagramError):
+        datagram = decode_msgpack(content, 'datagram', LoadDatagram)
+        report, subscription = datagram
+        return LoadDatagram(
+            report and _check_report(report),
+            subscription and _check_subscription(subscription),
+        )
+
+
+def check_load(load: Load) -> Load:
+    """Check a load that another daemon sent.
+
+    Raises:
+        ValueError: A value is not allowed.
+    """
+    check_integer('running', load.running)
+    check_integer('waiting', load.waiting)
+    check_integer('limit', load.limit)
+    check_number('pace', load.pace, maximum=MAX_PACE)
+    check_number('work', load.work_ms)
+    check_number('warm-up time', load.cold_ms)
+    _check_forecast(load.outlook)
+    return load
+
+
+def _check_forecast(forecast: PaceForecast) -> None:
+    check_number('time left in the phase', forecast.phase_left_ms)
+    check_number('length of a phase', forecast.phase_ms)
+    check_number('share of slow phases', forecast.slow_share, maximum=1)
+    check_number('normal pace', forecast.normal_pace, maximum=MAX_PACE)
+    check_number('slow pace', forecast.slow_pace, maximum=MAX_PACE)
+
+
+def _check_report(report: InstanceLoadReport) -> InstanceLoadReport:
+    check_header_text('instance', report.instance)
+    check_load(report.load)
+    check_integer('version', report.version)
+    if report.entry is not None:
+        check_server_entry(report.entry)
+    return report
+
+
+def _check_subscription(subscription: Subscription) -> Subscription:
+    check_ipv4('address of the subscriber', subscription.ip)
+    check_integer('version', subscription.version)
+    return subscription
 
 
 def is_urgent_change(load: Load, reported: Load) -> bool:
--- a/bergamotshunt/plugins/mesh/loads.py
+++ b/bergamotshunt/plugins/mesh/loads.py
@@ -23,6 +23,7 @@
     ServiceUsed,
 )
 from bergamotshunt.mesh_task import MeshTask
+from bergamotshunt.rejected_input import RejectedInputLog
 from bergamotshunt.routing import ServerEntry
 
 SUBSCRIBE_INTERVAL_S: Final = 1.0
@@ -54,6 +55,7 @@
         """Create the task; ``open`` binds the socket."""
         super().__init__(context)
         self._transport: DatagramTransport | None = None
+        self._rejected = RejectedInputLog(context.clock, self.metrics)
         self._servers_by_instance: dict[str, ServerEntry] = {}
         # Services that clients here use, with the time of their first use.
         self._used_services: dict[str, float] = {}
@@ -124,26 +126,30 @@
             self._send_report()
 
     def receive(self, content: bytes, ip: str) -> None:
-        """Process a datagram of another daemon."""
+        """Process a datagram of another daemon; log it when it is unusable."""
         self.metrics.increment('load_datagrams_received')
-        datagram = decode_load_datagram(content)
-        if datagram is None:
-            return
-        if datagram.report is not None:
-            self.bus.publish(LoadReceived(datagram.report))
-            self._compare_version(datagram.report.version, ip)
-            if datagram.report.entry is not None:
-                self.bus.publish(ServerEntryReceived(datagram.report.entry))
-        if datagram.subscription is not None:
-            subscription = datagram.subscription
-            is_new = subscription.ip not in self._expiry_s_by_ip
-            expiry_s = self.context.clock() + SUBSCRIPTION_LIFETIME_S
-            self._expiry_s_by_ip[subscription.ip] = expiry_s
-            self._compare_version(subscription.version, ip)
-            if is_new and self._latest_report is not None:
-                self._send(
-                    LoadDatagram(report=self._latest_report), subscription.ip
-                )
+        with self._rejected.contain('loads:datagram-unreadable', ip):
+            datagram = decode_load_datagram(content)
+            if datagram.report is not None:
+                self._handle_report(datagram.report, ip)
+            if datagram.subscription is not None:
+                self._handle_subscription(datagram.subscription, ip)
+
+    def _handle_report(self, report: InstanceLoadReport, ip: str) -> None:
+        self.bus.publish(LoadReceived(report))
+        self._compare_version(report.version, ip)
+        if report.entry is not None:
+            self.bus.publish(ServerEntryReceived(report.entry))
+
+    def _handle_subscription(self, subscription: Subscription, ip: str) -> None:
+        is_new = subscription.ip not in self._expiry_s_by_ip
+        expiry_s = self.context.clock() + SUBSCRIPTION_LIFETIME_S
+        self._expiry_s_by_ip[subscription.ip] = expiry_s
+        self._compare_version(subscription.version, ip)
+        if is_new and self._latest_report is not None:
+            self._send(
+                LoadDatagram(report=self._latest_report), subscription.ip
+            )
 
     def _compare_version(self, version: int, ip: str) -> None:
         if version > self._version:
@@ -213,7 +219,8 @@
     def _send_bytes(self, content: bytes, ip: str) -> None:
         if self._transport is not None:
             self.metrics.increment('load_datagrams_sent')
-            self._transport.sendto(content, (ip, self.mesh.datagram_port))
+            with self._rejected.contain('loads:address-unusable', ip):
+                self._transport.sendto(content, (ip, self.mesh.datagram_port))
 
 
 class LoadsProtocol(DatagramProtocol):
