--- a/bergamotshunt/plugins/mesh/routes.py
+++ b/bergamotshunt/plugins/mesh/routes.py
@@ -18,7 +18,6 @@
 from bergamotshunt.peers.peer_calls import CONFIGURATION_PATH
 from bergamotshunt.platform.configuration import (
     CONFIGURATION_KEY,
-    ConfigurationError,
     decode_configuration,
 )
 from bergamotshunt.platform.store import Item, StoreClient, StoreError
@@ -27,6 +26,7 @@
     WatchObserver,
     WatchTiming,
 )
+from bergamotshunt.rejected_input import RejectedInputLog
 
 WATCH_TIMING: Final = WatchTiming(retry_delay_s=0.4, batch_delay_s=0.2)
 # The watch of the store usually delivers a new version within this time, so
@@ -56,6 +56,7 @@
             context.clock,
             context.rng,
         )
+        self._rejected = RejectedInputLog(context.clock, self.metrics)
         self._version = 0
         self._applied_s = self.context.clock()
         self._newest_known_version = 0
@@ -122,14 +123,15 @@
     def _apply_items(self, items: tuple[Item, ...]) -> None:
         for item in items:
             if item.key == CONFIGURATION_KEY and item.content is not None:
-                self._apply(item.content, 'store')
+                self._apply_contained(item.content, 'store')
+
+    def _apply_contained(self, document: bytes, source: str) -> None:
+        """Apply a configuration; log it when it is unusable."""
+        with self._rejected.contain('routes:unreadable', source):
+            self._apply(document, source)
 
     def _apply(self, document: bytes, source: str) -> None:
-        try:
-            routing = decode_configuration(document)
-        except ConfigurationError as error:
-            log_event('routes:unreadable', source=source, detail=str(error))
-            return
+        routing = decode_configuration(document)
         if routing.version <= self._version:
             return
         log_event(
@@ -162,7 +164,7 @@
         if response.head.status != HTTPStatus.OK:
             return
         before = self._version
-        self._apply(response.content, ip)
+        self._apply_contained(response.content, ip)
         if self._version > before:
             # The watch has not delivered a version that a peer already had.
             self._watch.abandon('peer-has-newer-version')
