Give the test of the platform's circuit breaker its own clock

With the random source of the test, the circuit is open for 57 ms of real time after the second failure. When the 20 calls came later than that, one of them was sent as a trial, which is what the circuit is for. The test was wrong, not the product.

Evidence: three threads that compete for the interpreter delayed the calls to 77 ms in one of 12 runs; exactly that run admitted one call and counted 3. A stall of 40 and 52 ms gives 2, of 60 and 120 ms gives 3. No call of another task is counted, as the harness runs the store task alone, and the stand-in counts a call before it closes the connection (trace: counted 0.4 ms before the client records the failure).

Change: the clock of the test's kernel stands still until the test advances it, so no pause of the machine moves it. The test is stricter than before: after the time of the open circuit it expects exactly one trial among 20 calls.

Run: with a stall of 60 ms before the calls, the old test fails (3 == 2) and the new one passes. A circuit that does not open fails it (22 == 2), and so does one that does not limit its trials (22 == 3).

--- a/bergamotshunt/tests/test_store.py
+++ b/bergamotshunt/tests/test_store.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from random import Random
+from time import monotonic
 from typing import Any, NamedTuple
 from uuid import UUID
 
@@ -15,6 +16,7 @@
     expired_claims_range,
 )
 from bergamotshunt.decisions.platform_access import (
+    MIN_OPEN_MS,
     CallRate,
     Circuit,
     admit_call,
@@ -33,6 +35,16 @@
 from standins.platform import Limits, PlatformServer, PlatformStandIn
 
 
+class ManualClock:
+    """Monotonic clock in seconds that only the test advances."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
 class StoreHarness(NamedTuple):
     """A running store task with its platform stand-in."""
 
@@ -44,7 +56,9 @@
 
 @asynccontextmanager
 async def run_store_task(
-    limits: Limits = Limits(), **platform: Any
+    limits: Limits = Limits(),
+    clock: Callable[[], float] = monotonic,
+    **platform: Any,
 ) -> AsyncIterator[StoreHarness]:
     stand_in = PlatformStandIn(limits)
     server = PlatformServer(stand_in)
@@ -53,7 +67,7 @@
         platform=PlatformSettings(urls=(server.url,), **platform)
     )
     bus = MessageBus()
-    kernel = Kernel(Context(settings, bus, Random(1), 1), ('store',))
+    kernel = Kernel(Context(settings, bus, Random(1), 1, clock), ('store',))
     await kernel.start()
     try:
         yield StoreHarness(stand_in, server, bus, kernel)
@@ -151,23 +165,32 @@
 def test_calls_fail_at_once_while_the_platform_is_down() -> None:
     """Guards against calls that wait for a platform known to be down.
 
-    Two failed calls open the circuit; the next ones must not be sent.
+    Two failed calls open the circuit; the next ones must not be sent. Once
+    its time has passed, one of them is sent as a trial. The time of the
+    circuit is the test's own, as the circuit is open for 50 to 100 ms only.
     """
+    clock = ManualClock()
 
-    async def scenario(harness: StoreHarness) -> None:
-        harness.stand_in.set_faults(down='closed')
-        for _ in range(2):
-            await harness.bus.ask(StoreGet('a'))
-        sent = harness.stand_in.calls['dropped']
+    async def ask_20_times(harness: StoreHarness) -> list[str]:
         outcomes = await gather(
             *(harness.bus.ask(StoreGet('a')) for _ in range(20))
         )
-        assert harness.stand_in.calls['dropped'] == sent
-        assert all(
-            'is down' in outcome.failure().detail for outcome in outcomes
-        )
+        return [outcome.failure().detail for outcome in outcomes]
 
-    run_scenario(scenario)
+    async def scenario(harness: StoreHarness) -> None:
+        harness.stand_in.set_faults(down='closed')
+        for _ in range(2):
+            await harness.bus.ask(StoreGet('a'))
+        assert harness.stand_in.calls['dropped'] == 2
+        details = await ask_20_times(harness)
+        assert harness.stand_in.calls['dropped'] == 2
+        assert all('is down' in detail for detail in details)
+        clock.now_s += MIN_OPEN_MS / 1000
+        details = await ask_20_times(harness)
+        assert harness.stand_in.calls['dropped'] == 3
+        assert sum('is down' in detail for detail in details) == 19
+
+    run_scenario(scenario, clock=clock)
 
 
 def test_stale_reads_fail() -> None:
