Let the drain timeout limit the sending of responses at shutdown

What callers saw: a response of 250 KB was cut after 135 KB, 5.2 s after SIGTERM, although daemon.drain_timeout_s was 30 s; the daemon reported a complete drain and exited with 0.

Cause: the drain waits for handlers. The handler of a buffered response ends when it has handed its bytes to the transport. uvicorn's shutdown then waited 5 s at each port, one port after the other, and the process ended with the unsent rest.

Change: the kernel drains all tasks and then finishes them: each port stops listening and waits until every connection has sent its response, all ports at the same time, within the drain timeout. What is not sent by then counts as a drain that was not complete (exit code 1): requests are cancelled and connections that still hold bytes are closed, which the receiver sees by the stated length.

Why it works: uvicorn keeps a connection in its set until the transport has handed over the last byte and closed; the shutdown now waits for this set without a limit of its own.

The kernel's new step does nothing in the tasks of the mesh daemon.

--- a/bergamotshunt/http/web.py
+++ b/bergamotshunt/http/web.py
@@ -35,6 +35,8 @@
 
 BACKLOG: Final = 2048
 CLOSE_TIMEOUT_S: Final = 5
+# Time for the failures of cancelled requests, which are short, to be sent.
+ABORT_TIMEOUT_S: Final = 1
 KEEP_ALIVE_S: Final = 75
 MS_PER_S: Final = 1000
 
@@ -68,6 +70,20 @@
         # its exit flag.
         await self.stopping.wait()
 
+    def stop(self) -> None:
+        self.should_exit = True
+        self.stopping.set()
+
+    def cancel_requests(self) -> None:
+        for request in tuple(self.server_state.tasks):
+            request.cancel()
+
+    def abort_connections(self) -> None:
+        for connection in tuple(self.server_state.connections):
+            transport = connection.transport
+            if transport is not None:
+                transport.abort()
+
 
 class _ErrorBoundary:
     """Ends requests whose application failed, without exposing tracebacks."""
@@ -126,10 +142,12 @@
             log_level='critical',
             backlog=BACKLOG,
             timeout_keep_alive=KEEP_ALIVE_S,
-            timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
+            # ``finish`` and ``close`` limit the time.
+            timeout_graceful_shutdown=None,
         )
         self._server = _UvicornServer(config)
         self._serving: AsyncioTask[None] | None = None
+        self._close_timeout_s = CLOSE_TIMEOUT_S
 
     async def open(self) -> None:
         """Start to serve and wait until the port is listening.
@@ -152,12 +170,39 @@
                 'was listening'
             )
 
-    async def close(self) -> None:
-        """Stop listening and close open connections."""
-        self._server.should_exit = True
-        self._server.stopping.set()
+    async def finish(self) -> None:
+        """Stop listening; wait until all responses are sent, without limit.
+
+        A response is sent when the kernel has taken its last byte, which is
+        later than the end of its handler if the receiver is slow.
+        """
+        # Responses that are still not sent when the caller gives up have had
+        # their time.
+        self._close_timeout_s = 0
+        self._server.stop()
         if self._serving is not None:
-            await wait((self._serving,), timeout=CLOSE_TIMEOUT_S)
+            await wait((self._serving,))
+
+    async def close(self) -> None:
+        """Stop listening, end all requests and close all connections.
+
+        Without an earlier ``finish``, waits up to ``CLOSE_TIMEOUT_S`` until
+        the responses are sent.
+        """
+        self._server.stop()
+        if await self._has_ended(self._close_timeout_s):
+            return
+        self._server.cancel_requests()
+        if await self._has_ended(ABORT_TIMEOUT_S):
+            return
+        self._server.abort_connections()
+        await self._has_ended(ABORT_TIMEOUT_S)
+
+    async def _has_ended(self, timeout_s: float) -> bool:
+        if self._serving is None:
+            return True
+        await wait((self._serving,), timeout=timeout_s)
+        return self._serving.done()
 
 
 def decode_headers(scope: Mapping[str, Any]) -> dict[str, str]:
--- a/bergamotshunt/kernel.py
+++ b/bergamotshunt/kernel.py
@@ -10,7 +10,6 @@
     gather,
     get_running_loop,
     timeout,
-    wait_for,
 )
 from asyncio import Task as AsyncioTask
 from collections import defaultdict
@@ -207,6 +206,12 @@
     async def drain(self) -> None:
         """Refuse new requests and wait for those in flight."""
 
+    async def finish(self) -> None:
+        """Stop to accept connections; wait until all responses are sent.
+
+        Called after ``drain`` of all tasks, when the daemon stops.
+        """
+
     async def close(self) -> None:
         """Close sockets; the base class cancels all children."""
         for child in tuple(self._children):
@@ -334,19 +339,23 @@
         log_event('daemon:started', daemon=self.context.settings.daemon.id)
 
     async def drain(self, timeout_s: float) -> bool:
-        """Drain all tasks.
+        """Drain all tasks, then send what they have not sent yet.
 
         Args:
-            timeout_s: Longest wait for requests in flight.
+            timeout_s: Longest wait for requests in flight and for the last
+                bytes of their responses, together.
 
         Returns:
-            Whether all requests in flight ended in time.
+            Whether all requests in flight ended and all responses were sent
+            in time.
         """
-        draining = gather(
-            *(task.drain() for task in self.tasks_by_name.values()),
-        )
+        tasks = self.tasks_by_name.values()
         try:
-            await wait_for(draining, timeout_s)
+            async with timeout(timeout_s):
+                await gather(*(task.drain() for task in tasks))
+                # A request at one port may need the other ports of this
+                # daemon, so all requests end before the first port closes.
+                await gather(*(task.finish() for task in tasks))
         except TimeoutError:
             return False
         return True
--- a/bergamotshunt/plugins/admin.py
+++ b/bergamotshunt/plugins/admin.py
@@ -130,6 +130,10 @@
             self.idle.clear()
             await self.idle.wait()
 
+    async def finish(self) -> None:
+        """Stop listening and send the rest of all responses."""
+        await self.http.finish()
+
     async def close(self) -> None:
         """Close the port."""
         await self.http.close()
--- a/bergamotshunt/plugins/guard.py
+++ b/bergamotshunt/plugins/guard.py
@@ -76,6 +76,10 @@
             self.draining = create_task(self.guarded_server.finish_and_drain())
         await shield(self.draining)
 
+    async def finish(self) -> None:
+        """Stop listening and send the rest of all responses."""
+        await self.http.finish()
+
     async def close(self) -> None:
         """Close the port and the connections to the backend server."""
         await self.http.close()
--- a/bergamotshunt/plugins/ingress.py
+++ b/bergamotshunt/plugins/ingress.py
@@ -101,6 +101,10 @@
             self.idle.clear()
             await self.idle.wait()
 
+    async def finish(self) -> None:
+        """Stop listening and send the rest of all responses."""
+        await self.http.finish()
+
     async def close(self) -> None:
         """Close the port and the connections to peers."""
         await self.http.close()
