State a verdict for requests that the end of the drain cancels

What callers saw: when the drain timeout passed while the backend server still held a request, the daemon's port answered with status 500, text/plain and no verdict, so the caller wasn't told that the request may have run.

Cause: the server cancels the requests that are left; the error boundary of the HTTP servers handled Exception only, and uvicorn answered in its place.

Change: the error boundary answers a cancelled request with a problem document, status 503 and the verdict may-have-run, unless its response was started.

Test: a daemon process with a drain timeout of 1 s and requests that are held at the callers and the peers port. Before: 'HTTP/1.1 500 Internal Server Error' with text/plain and no verdict at the peers port. After: passed.

--- a/bergamotshunt/http/web.py
+++ b/bergamotshunt/http/web.py
@@ -1,6 +1,6 @@
 """HTTP servers of the daemon on uvicorn, and helpers for plain ASGI."""
 
-from asyncio import Event, create_task, wait
+from asyncio import CancelledError, Event, create_task, wait
 from asyncio import Task as AsyncioTask
 from collections.abc import AsyncIterable, Iterator, Mapping
 from contextlib import contextmanager, suppress
@@ -49,6 +49,18 @@
     """A request body is larger than the limit."""
 
 
+INTERNAL_FAILURE: Final = create_unknown_outcome(
+    'internal-error',
+    'the daemon failed while serving this request; see its log',
+    HTTPStatus.INTERNAL_SERVER_ERROR,
+)
+STOPPED_FAILURE: Final = create_unknown_outcome(
+    'stopped',
+    'the daemon stopped before this request ended',
+    HTTPStatus.SERVICE_UNAVAILABLE,
+)
+
+
 class _UvicornServer(Server):
     """A uvicorn server without signal handlers, with an event on listening."""
 
@@ -98,16 +110,12 @@
             # The response stays incomplete, so uvicorn closes the connection
             # and no client treats the response as complete.
             log_event('http:answer-cut-short', detail=str(error))
+        except CancelledError:
+            await send_unless_started(send, STOPPED_FAILURE)
+            raise
         except Exception as error:
             log_error('http:request-failed', error, path=scope['path'])
-            failure = create_unknown_outcome(
-                'internal-error',
-                'the daemon failed while serving this request; see its log',
-                HTTPStatus.INTERNAL_SERVER_ERROR,
-            )
-            # Raises when the response was started already.
-            with suppress(RuntimeError):
-                await send_failure(send, failure, '')
+            await send_unless_started(send, INTERNAL_FAILURE)
 
 
 class HttpServer:
@@ -319,6 +327,13 @@
     await send_whole(send, int(failure.status), header_items, encode(problem))
 
 
+async def send_unless_started(send: Any, failure: CallFailure) -> None:
+    """Send a failure unless the response was started already."""
+    # Raised when the response was started already.
+    with suppress(RuntimeError):
+        await send_failure(send, failure, '')
+
+
 async def send_json(
     send: Any, document: Any, status: int = HTTPStatus.OK
 ) -> None:
--- a/bergamotshunt/tests/test_daemon_shutdown.py
+++ b/bergamotshunt/tests/test_daemon_shutdown.py
@@ -22,6 +22,7 @@
 EXIT_TIMEOUT_S = 60
 BUFFERED_BYTES = 250_000
 STREAMED_BYTES = 400_000
+HELD_PATHS_BY_PORT = {'callers': '/catalog/packs/1', 'peers': '/packs/2'}
 TOKEN = TOKENS_BY_OPERATOR['ana']
 HEADERS = {
     'host': IP,
@@ -144,6 +145,17 @@
     return response
 
 
+async def open_held(fleet: Fleet, port: str, path: str) -> SlowResponse:
+    """Send a request that the backend server holds until it is released."""
+    host = fleet.hosts[0]
+    response = SlowResponse()
+    await response.request(host.ports_by_kind[port], f'{path}?hold={port}')
+    reached = f'{host.url("control")}/reached?name={port}'
+    async with fleet.session.get(reached) as reply:
+        assert reply.status == 200
+    return response
+
+
 async def wait_for_exit(host: Host) -> int:
     """Wait until the daemon has ended; return its exit code."""
     process = host.daemon.process
@@ -206,3 +218,29 @@
             assert len(response.body) < response.length
 
     asyncio.run(scenario())
+
+
+def test_requests_that_outlast_the_drain_get_a_verdict() -> None:
+    """Guards against a caller that is not told what became of its request.
+
+    The backend server holds the requests for longer than the drain timeout.
+    """
+
+    async def scenario() -> None:
+        settings = {'daemon': {'drain_timeout_s': 1}}
+        async with SmallBufferFleet(SHAPE, 1, settings) as fleet:
+            host = fleet.hosts[0]
+            responses = [
+                await open_held(fleet, port, path)
+                for port, path in HELD_PATHS_BY_PORT.items()
+            ]
+            host.daemon.terminate()
+            exit_code = await wait_for_exit(host)
+            for response in responses:
+                await response.read_head()
+                await response.read_rest()
+                assert b'bergamotshunt-verdict: may-have-run' in response.head
+                assert len(response.body) == response.length
+            assert exit_code == 1
+
+    asyncio.run(scenario())
