--- a/bergamotshunt/routing.py
+++ b/bergamotshunt/routing.py
@@ -1,7 +1,24 @@
 """Routes, services and limits from the operator's configuration."""
 
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+# Each field has the check of its kind.
+from bergamotshunt.value_checks import (  # noqa: WPS235
+    MAX_INTEGER,
+    MAX_SLOTS,
+    check_header_text,
+    check_integer,
+    check_ipv4,
+    check_number,
+    check_path,
+    check_port,
+    check_string,
+    check_text,
+)
+
+# Bytes or milliseconds; as a time, it is about 35 years.
+MAX_LIMIT: Final = 2**40
 
 
 class RequestKind(StrEnum):
@@ -151,3 +168,54 @@
     state: AnnouncedState
     cold_ms: float = 0
     slot_share: float = 0
+
+
+def check_routing(routing: Routing) -> Routing:
+    """Check a configuration that another writer may have produced.
+
+    Raises:
+        ValueError: A value is not allowed.
+    """
+    check_integer('version', routing.version)
+    for routes in routing.routes_by_host.values():
+        for route in routes:
+            _check_route(route)
+    for service in routing.services_by_name.values():
+        check_path('health path', service.health_path)
+        check_integer('connections', service.connections)
+    for name, limit in routing.limits._asdict().items():
+        check_integer(name, limit, maximum=MAX_LIMIT)
+    return routing
+
+
+def _check_route(route: Route) -> None:
+    # An unusual host or prefix matches no request and does no harm.
+    check_string('host', route.host)
+    check_string('prefix', route.prefix)
+    check_number('timeout', route.timeout_ms)
+    check_number('latency objective', route.latency_objective_ms)
+    check_integer('priority', route.priority, -MAX_INTEGER)
+    check_integer('attempts', route.attempts)
+    for service in route.weighted_services:
+        check_header_text('service', service.service)
+        check_number('weight', service.weight)
+
+
+def check_server_entry(entry: ServerEntry) -> ServerEntry:
+    """Check an entry that another writer may have produced.
+
+    Raises:
+        ValueError: A value is not allowed.
+    """
+    return entry._replace(
+        instance=check_header_text('instance', entry.instance),
+        born_ms=check_integer('start time', entry.born_ms),
+        sequence=check_integer('sequence', entry.sequence),
+        service=check_header_text('service', entry.service),
+        zone=check_text('zone', entry.zone),
+        ip=check_ipv4('ip', entry.ip),
+        inbound_port=check_port('port', entry.inbound_port),
+        slots=check_integer('slots', entry.slots, 1, MAX_SLOTS),
+        cold_ms=check_number('warm-up time', entry.cold_ms),
+        slot_share=check_number('slot share', entry.slot_share, 0, 1),
+    )
