--- a/bergamotshunt/kernel.py
+++ b/bergamotshunt/kernel.py
@@ -210,7 +210,11 @@
         """Refuse new requests and wait for those in flight."""
 
     async def finish(self) -> None:
-        """Send the last responses; all tasks have drained."""
+        """Send the last responses, then stop to accept connections.
+
+        Called after ``drain`` of all tasks: a request at one port may need
+        the other ports of this daemon.
+        """
 
     async def close(self) -> None:
         """Close sockets; the base class cancels all children."""
@@ -342,10 +346,12 @@
         """Drain all tasks, then let them send their last responses.
 
         Args:
-            timeout_s: Longest wait for requests in flight.
+            timeout_s: Longest wait for requests in flight and for the last
+                bytes of their responses, together.
 
         Returns:
-            Whether all requests in flight ended in time.
+            Whether all requests in flight ended and all responses were sent
+            in time.
         """
         end_s = get_running_loop().time() + timeout_s
         tasks = self.tasks_by_name.values()
