--- a/standins/mesh_store.py
+++ b/standins/mesh_store.py
@@ -75,6 +75,15 @@
         self.silent = True
         self._silences += 1
 
+    def reset_connections(self) -> None:
+        """Reset all open connections."""
+        for connection in tuple(self._listener.connections):
+            connection.abort()
+
+    def compact(self) -> None:
+        """Drop the history up to the current revision."""
+        self.compacted_revision = self._revision
+
     async def put(self, key: str, content: str, lease: int = 0) -> int:
         """Write a value, given as base64 text, and return its revision."""
         self._revision += 1
