Close connections without a response at once when a drain ends

The orderly close lingered for up to 0.5 s on connections that were new and had carried no response, which delays the next start of the daemon although nothing was sent. The time counts from the last response now.

--- a/bergamotshunt/http/lingering_close.py
+++ b/bergamotshunt/http/lingering_close.py
@@ -19,7 +19,8 @@
 
     Args:
         transport: Transport of the connection, which is not closing yet.
-        sent_s: Loop time at which bytes were last sent, in seconds.
+        sent_s: Loop time of the last response in seconds; negative infinity
+            if there was none.
         stall_timeout_s: Returns how long the peer may take no bytes now, in
             seconds.
         on_stall: Called when the peer takes no more bytes.
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
+from math import inf
 from typing import Any, Final, Protocol
 
 from httptools import HttpParserError, HttpRequestParser
@@ -82,6 +83,7 @@
         self._is_aborted = False
         self._unsent_bytes = 0
         self._last_request_id = ''
+        self._last_response_s = -inf
 
     # Transport callbacks
 
@@ -303,10 +305,10 @@
             exchange.closing = True
         self._exchanges.popleft()
         self._last_request_id = exchange.request_id
+        self._last_response_s = self._listener.now_s()
         self._next_response_changed.set()
         self._next_response_changed = Event()
         if exchange.closing:
-            self._idle_since_s = self._listener.now_s()
             self._close(CloseReason.LAST_RESPONSE)
             return False
         if len(self._exchanges) == MAX_PIPELINED_REQUESTS:
@@ -360,7 +362,7 @@
             self._timer.cancel()
         self._lingering_close = LingeringClose(
             self._transport,
-            self._idle_since_s,
+            self._last_response_s,
             self._stall_timeout_s,
             lambda: self.abort(CloseReason.STALLED),
         )
