End the connection of a handler that makes no response

A handler that ended without a response left its request due for good: the client waited, and since a drain waits for due responses, so would the drain. The listener aborts such a connection, with the reason handler-failed.

Tests before: handler without a response, TimeoutError after 20 s with both event loops.

--- a/bergamotshunt/http/listeners.py
+++ b/bergamotshunt/http/listeners.py
@@ -136,5 +136,8 @@
         except Exception as error:
             log_error('listener:handler-failed', error)
             exchange.fail(HTTPStatus.BAD_GATEWAY, [])
+        else:
+            if not exchange.finished:
+                exchange.abort()
         finally:
             self.running -= 1
--- a/bergamotshunt/tests/test_mesh_shutdown.py
+++ b/bergamotshunt/tests/test_mesh_shutdown.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from math import inf
 from typing import Any
 
 import pytest
@@ -160,6 +161,100 @@
     assert end.complete
 
 
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_listener_closes_unused_connections_at_once(
+    runner_factory: Callable[[], asyncio.Runner],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a drain that waits although nothing was sent."""
+    monkeypatch.setattr(connection_closing, 'LINGER_TIMEOUT_S', inf)
+
+    async def run_scenario() -> list[ConnectionEnd]:
+        responder = LargeResponder()
+        listener = responder.listener
+        port = await listener.open('127.0.0.1', 0)
+        async with SlowClient('127.0.0.1', port) as client:
+            await client.send(REQUEST[:10])
+            while not listener.connections:
+                await asyncio.sleep(0)
+            listener.close_idle()
+            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+                await listener.wait_until_idle()
+            await listener.close()
+        async with SlowClient('127.0.0.1', await listener.open('127.0.0.1', 0)):
+            while not listener.connections:
+                await asyncio.sleep(0)
+            listener.close_idle()
+            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+                await listener.wait_until_idle()
+            await listener.close()
+        return responder.ends
+
+    with runner_factory() as runner:
+        ends = runner.run(run_scenario())
+    assert len(ends) == 2
+    assert all(end.complete for end in ends)
+
+
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_handler_without_a_response_does_not_hold_the_drain(
+    runner_factory: Callable[[], asyncio.Runner],
+) -> None:
+    """Guards against a drain that waits for a response nobody makes."""
+
+    async def serve(_exchange: Exchange) -> None:
+        """End without a response."""
+
+    async def run_scenario() -> list[ConnectionEnd]:
+        ends: list[ConnectionEnd] = []
+        listener = Listener(serve, on_connection_end=ends.append)
+        port = await listener.open('127.0.0.1', 0)
+        async with SlowClient('127.0.0.1', port) as client:
+            await client.send(REQUEST)
+            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+                assert await client.read() == b''
+                await listener.wait_until_idle()
+        await listener.close()
+        return ends
+
+    with runner_factory() as runner:
+        (end,) = runner.run(run_scenario())
+    assert end.reason is CloseReason.HANDLER_FAILED
+    assert end.responses_due == 1
+
+
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_request_behind_the_last_response_does_not_run(
+    runner_factory: Callable[[], asyncio.Runner],
+) -> None:
+    """Guards against runs whose response the connection cannot send."""
+
+    async def run_scenario() -> tuple[bytes, list[bytes]]:
+        targets: list[bytes] = []
+
+        async def serve(exchange: Exchange) -> None:
+            targets.append(exchange.head.target)
+            exchange.start(200, [], 2)
+            (connection,) = listener.connections
+            connection.data_received(REQUEST.replace(b'/a', b'/b'))
+            exchange.write(b'ok')
+            exchange.finish()
+
+        listener = Listener(serve)
+        port = await listener.open('127.0.0.1', 0)
+        listener.close_after_responses()
+        async with SlowClient('127.0.0.1', port) as client:
+            await client.send(REQUEST)
+            response = await client.read_until_closed()
+        await listener.close()
+        return response, targets
+
+    with runner_factory() as runner:
+        response, targets = runner.run(run_scenario())
+    assert targets == [b'/a']
+    assert content_of(response) == b'ok'
+
+
 @pytest.mark.parametrize('runner_factory', RUNNERS)
 def test_body_after_an_early_response_does_not_cut_it(
     runner_factory: Callable[[], asyncio.Runner],
