Handle a response that switches protocols as a lost response

A response with status 101 raised an error of the parser that the connection did not handle: the event loop logged a trace to standard error and closed the connection. It is an ordinary malformed response now.

Before: test_switched_protocol_fails_only_its_request failed in both cases. After: both pass.

--- a/bergamotshunt/http/client_connection.py
+++ b/bergamotshunt/http/client_connection.py
@@ -4,7 +4,11 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
-from httptools import HttpParserError, HttpResponseParser
+from httptools import (
+    HttpParserError,
+    HttpParserUpgrade,
+    HttpResponseParser,
+)
 
 from bergamotshunt.http.bodies import Body
 from bergamotshunt.http.heads import (
@@ -113,7 +117,7 @@
         self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except HttpParserError as error:
+        except (HttpParserError, HttpParserUpgrade) as error:
             self._fail_out_of_sync(
                 f'the server sent a malformed HTTP response: {error}'
             )
--- a/bergamotshunt/tests/test_mesh_endless_responses.py
+++ b/bergamotshunt/tests/test_mesh_endless_responses.py
@@ -161,3 +161,27 @@
             await server.disconnected.wait()
 
     asyncio.run(run_scenario())
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'no answer'], ids=['head alone', 'more bytes']
+)
+def test_switched_protocol_fails_only_its_request(body: bytes) -> None:
+    """Guards against an unhandled error of the parser on a switch to another.
+
+    Nobody asks the server to switch protocols.
+    """
+    content = (
+        b'HTTP/1.1 101 Switching Protocols\r\n'
+        b'Connection: upgrade\r\nUpgrade: x\r\n\r\n' + body
+    )
+    errors = []
+
+    async def run_scenario() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _loop, error: errors.append(error))
+        async with FaultyServer(respond(content)) as server:
+            assert await server.send('r1', left_ms=60_000) == LOST
+
+    asyncio.run(run_scenario())
+    assert errors == []
