End a refusal whose body does not end at the deadline

The time limit of a request ended with the head of the response, also of a refusal, whose body is read before the peer gets an answer. A refusal with a body that drips without an end kept its slot until the peer gave up.

The limit now covers the body of a refusal. When it passes, the verdict is may-have-run: a refusal that is not whole is no promise.

Before: test_refusal_without_end_frees_its_slot failed (no end within 10 s, deadline 100 ms). After: it passes.

--- a/bergamotshunt/backend/server_relay.py
+++ b/bergamotshunt/backend/server_relay.py
@@ -183,8 +183,12 @@
                 call,
                 left_ms,
             )
-            limit.reschedule(None)
-            await self._relay_response(exchange, response, start)
+            info = read_server_response_info(response.head)
+            if info.refused:
+                await self._relay_refusal(exchange, response, info)
+            else:
+                limit.reschedule(None)
+                await self._relay_response(exchange, response, info, start)
         self._log.write(
             'inbound:ran',
             failed=response.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR,
@@ -196,19 +200,24 @@
             pace=self._server.work_estimator.pace,
         )
 
+    async def _relay_refusal(
+        self,
+        exchange: Exchange,
+        response: Response,
+        info: ServerResponseInfo,
+    ) -> None:
+        _check_promise(response)
+        await response.body.read_up_to(MAX_BUFFERED_BODY_BYTES)
+        self.refuse(exchange, self._create_refusal(info))
+
     async def _relay_response(
         self,
         exchange: Exchange,
         response: Response,
+        info: ServerResponseInfo,
         start: RunStart,
     ) -> None:
         head = response.head
-        info = read_server_response_info(head)
-        if info.refused:
-            _check_promise(response)
-            await response.body.read_up_to(MAX_BUFFERED_BODY_BYTES)
-            self.refuse(exchange, self._create_refusal(info))
-            return
         result = self._end_run(start, info)
         if info.looks_refused:
             raise ResponseLostError(
--- a/bergamotshunt/tests/test_mesh_endless_responses.py
+++ b/bergamotshunt/tests/test_mesh_endless_responses.py
@@ -185,3 +185,24 @@
 
     asyncio.run(run_scenario())
     assert errors == []
+
+
+def test_refusal_without_end_frees_its_slot() -> None:
+    """Guards against a refusal whose body keeps the slot past the deadline.
+
+    The body has no length, and one byte arrives after the other.
+    """
+
+    async def refuse_slowly(turn: Turn) -> None:
+        await turn.write(refusal(b'r1').replace(b'Content-Length: 0', b'A: 0'))
+        while True:
+            await turn.write(b'x')
+            await asyncio.sleep(0.01)
+
+    async def run_scenario() -> None:
+        async with FaultyServer(refuse_slowly) as server:
+            async with asyncio.timeout(10):
+                assert await server.send('r1', left_ms=100) == LOST
+            await server.disconnected.wait()
+
+    asyncio.run(run_scenario())
