Bound the time of a response body

A body without an end kept its slot for as long as a client read it; nothing but the client ended it. A body may now arrive for 300 s after its head, far longer than clients wait and than the slowest download takes; then it is cut in a way that can't look complete. Silence of the server alone cuts nothing.

Before: test_body_without_end_is_cut_in_time failed for chunks and for small chunks. After: all three pass, and a body that arrives after the request's deadline is whole.

--- a/bergamotshunt/backend/server_relay.py
+++ b/bergamotshunt/backend/server_relay.py
@@ -1,6 +1,6 @@
 """Forwards requests of peers to the backend server and its responses."""
 
-from asyncio import timeout
+from asyncio import get_running_loop, timeout
 from collections import Counter
 from http import HTTPStatus
 from typing import Final
@@ -41,6 +41,9 @@
 # this much later.
 RESPONSE_GRACE_MS: Final = 150
 MIN_LEFT_MS: Final = 5
+# A large response to a slow client may take this long after its head. One
+# without an end is cut then, so that its slot becomes free.
+RESPONSE_BODY_TIMEOUT_S: Final = 300.0
 
 
 class ServerRelay:
@@ -187,7 +190,9 @@
             if info.refused:
                 await self._relay_refusal(exchange, response, info)
             else:
-                limit.reschedule(None)
+                limit.reschedule(
+                    get_running_loop().time() + RESPONSE_BODY_TIMEOUT_S
+                )
                 await self._relay_response(exchange, response, info, start)
         self._log.write(
             'inbound:ran',
--- a/bergamotshunt/tests/faulty_server.py
+++ b/bergamotshunt/tests/faulty_server.py
@@ -52,6 +52,16 @@
     return REFUSAL % (ID_LINE % request_id)
 
 
+def peer_request_head(request_id: str, length: int, left_ms: float) -> bytes:
+    call = PeerCall(request_id, INSTANCE, 'c', left_ms, left_ms, 1)
+    headers = [
+        (b'Host', b'x'),
+        (REQUEST_ID, request_id.encode()),
+        (CALL_HEADER, encode_call(call)),
+    ]
+    return encode_request_head(b'POST', b'/book/1', headers, length)
+
+
 class Turn(NamedTuple):
     """One request at the scripted server, whose body is not read yet."""
 
@@ -139,18 +149,16 @@
         self._server.close()
 
     async def send(
-        self, request_id: str, body: bytes = b'', left_ms: float = 5000
+        self,
+        request_id: str,
+        body: bytes = b'',
+        left_ms: float = 5000,
+        max_bytes: int = 1 << 24,
     ) -> Outcome:
         """Send a request as a peer does."""
-        call = PeerCall(request_id, INSTANCE, 'c', left_ms, left_ms, 1)
-        headers = [
-            (b'Host', b'x'),
-            (REQUEST_ID, request_id.encode()),
-            (CALL_HEADER, encode_call(call)),
-        ]
-        head = encode_request_head(b'POST', b'/book/1', headers, len(body))
+        head = peer_request_head(request_id, len(body), left_ms)
         async with asyncio.timeout(TEST_TIMEOUT_S):
-            response = await self._peer_pool.fetch(head + body, 1 << 24)
+            response = await self._peer_pool.fetch(head + body, max_bytes)
         result = decode_result(
             response.head.by_name.get(RESULT_HEADER.lower(), b'')
         )
--- a/bergamotshunt/tests/test_mesh_endless_responses.py
+++ b/bergamotshunt/tests/test_mesh_endless_responses.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bergamotshunt.backend import server_relay
 from bergamotshunt.http.client_connection import MAX_FRAMING_BYTES
 from bergamotshunt.http.client_pool import ClientPool
 from bergamotshunt.platform.store import OutcomeUnknownError, StoreClient
@@ -206,3 +207,53 @@
             await server.disconnected.wait()
 
     asyncio.run(run_scenario())
+
+
+ENDLESS_BODIES = {
+    'chunks': (CHUNKED_HEAD, b'fa00\r\n' + b'x' * 64_000 + b'\r\n'),
+    'small chunks': (CHUNKED_HEAD, b'2\r\nxx\r\n' * 8000),
+    'no length': (STATUS_LINE + SIGNED, b'x' * 64_000),
+}
+for_each_endless_body = pytest.mark.parametrize(
+    ('start_bytes', 'piece'),
+    ENDLESS_BODIES.values(),
+    ids=ENDLESS_BODIES.keys(),
+)
+
+
+@for_each_endless_body
+def test_body_without_end_is_cut_in_time(
+    monkeypatch: pytest.MonkeyPatch, start_bytes: bytes, piece: bytes
+) -> None:
+    """Guards against a body that keeps its slot as long as a client reads.
+
+    The response must not look complete.
+    """
+
+    async def run_scenario() -> None:
+        script = respond_without_end(start_bytes, piece)
+        async with FaultyServer(script) as server:
+            async with asyncio.timeout(10):
+                with pytest.raises(ConnectionError):
+                    await server.send('r1', left_ms=100, max_bytes=1 << 40)
+            await server.disconnected.wait()
+
+    monkeypatch.setattr(server_relay, 'RESPONSE_BODY_TIMEOUT_S', 0.3)
+    asyncio.run(run_scenario())
+
+
+def test_body_may_arrive_after_the_deadline() -> None:
+    """Guards against cutting a slow download whose head was in time."""
+
+    async def respond_slowly(turn: Turn) -> None:
+        await turn.write(STATUS_LINE + b'Content-Length: 30\r\n' + SIGNED)
+        for _ in range(30):
+            await asyncio.sleep(0.02)
+            await turn.write(b'x')
+
+    async def run_scenario() -> None:
+        async with FaultyServer(respond_slowly) as server:
+            outcome = await server.send('r1', left_ms=100)
+            assert outcome == Outcome(Verdict.RAN, 200, b'x' * 30)
+
+    asyncio.run(run_scenario())
