Join small chunks of a body while they are buffered

The limit on buffered bytes of a body counts content only, but each chunk takes memory of its own: a server that sends chunks of 2 bytes to a peer that does not read took 15 MB for one response on its two connections, and each chunk went on to the client with framing of its own.

Chunks below 4 KiB are now joined while they wait for the reader; larger ones are passed on without a copy.

--- a/bergamotshunt/http/bodies.py
+++ b/bergamotshunt/http/bodies.py
@@ -7,6 +7,9 @@
 
 HIGH_WATER_BYTES: Final = 65_536
 LOW_WATER_BYTES: Final = 16_384
+# Smaller chunks are joined: each chunk takes some memory of its own, and some
+# time of its reader.
+MIN_CHUNK_BYTES: Final = 4096
 
 
 class IncompleteBodyError(ConnectionError):
@@ -27,6 +30,8 @@
         self.received_bytes = 0
         self.error: IncompleteBodyError | None = None
         self._chunks: deque[bytes] = deque()
+        # Small chunks that follow those in the queue.
+        self._small_chunks = bytearray()
         self._buffered_bytes = 0
         self._discarding = False
         self._paused = False
@@ -38,7 +43,7 @@
         self.received_bytes += len(chunk)
         if self._discarding:
             return
-        self._chunks.append(chunk)
+        self._append(chunk)
         self._buffered_bytes += len(chunk)
         self._changed.set()
         if self._buffered_bytes > HIGH_WATER_BYTES and not self._paused:
@@ -60,6 +65,7 @@
         """Drop the buffered bytes and all that still arrive."""
         self._discarding = True
         self._chunks.clear()
+        self._small_chunks.clear()
         self._release_bytes(self._buffered_bytes)
 
     async def read(self) -> bytes:
@@ -68,13 +74,15 @@
         Raises:
             IncompleteBodyError: The rest of the body will not arrive.
         """
-        while not self._chunks:
+        while not self._has_chunks:
             if self.complete:
                 return b''
             if self.error is not None:
                 raise self.error
             self._changed.clear()
             await self._changed.wait()
+        if not self._chunks:
+            self._queue_small_chunks()
         chunk = self._chunks.popleft()
         self._release_bytes(len(chunk))
         return chunk
@@ -100,7 +108,25 @@
     @property
     def at_end(self) -> bool:
         """Whether the whole body was received and read."""
-        return self.complete and not self._chunks
+        return self.complete and not self._has_chunks
+
+    @property
+    def _has_chunks(self) -> bool:
+        return bool(self._chunks or self._small_chunks)
+
+    def _append(self, chunk: bytes) -> None:
+        if len(chunk) >= MIN_CHUNK_BYTES:
+            self._queue_small_chunks()
+            self._chunks.append(chunk)
+            return
+        self._small_chunks += chunk
+        if len(self._small_chunks) >= MIN_CHUNK_BYTES:
+            self._queue_small_chunks()
+
+    def _queue_small_chunks(self) -> None:
+        if self._small_chunks:
+            self._chunks.append(bytes(self._small_chunks))
+            self._small_chunks.clear()
 
     def _release_bytes(self, size: int) -> None:
         self._buffered_bytes -= size
--- a/bergamotshunt/tests/faulty_server.py
+++ b/bergamotshunt/tests/faulty_server.py
@@ -10,6 +10,7 @@
 from bergamotshunt.backend.server_client import ServerClient
 from bergamotshunt.backend.server_relay import ServerRelay
 from bergamotshunt.backend.slot_queue import RefusedError
+from bergamotshunt.http.client_connection import ClientConnection
 from bergamotshunt.http.client_pool import ClientPool
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.heads import encode_request_head
@@ -165,6 +166,14 @@
         assert result is not None
         return Outcome(result.verdict, response.head.status, response.content)
 
+    async def start(self, request_id: str) -> ClientConnection:
+        """Send a request whose response starts and is not read."""
+        connection = await self._peer_pool.acquire()
+        head = peer_request_head(request_id, 0, 5000)
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            await connection.send_request(head, whole=True)
+        return connection
+
     def count(self, name: str) -> int:
         """Return the value of a counter without labels."""
         return self.metrics.snapshot().counters.get(Series(name), 0)
--- a/bergamotshunt/tests/test_mesh_endless_responses.py
+++ b/bergamotshunt/tests/test_mesh_endless_responses.py
@@ -257,3 +257,29 @@
             assert outcome == Outcome(Verdict.RAN, 200, b'x' * 30)
 
     asyncio.run(run_scenario())
+
+
+@for_each_endless_body
+def test_body_without_end_stops_with_its_reader(
+    start_bytes: bytes, piece: bytes
+) -> None:
+    """Guards against a body that fills the memory, or outlives its reader.
+
+    The peer first doesn't read, then closes its connection.
+    """
+
+    async def run_scenario() -> None:
+        script = respond_without_end(start_bytes, piece)
+        async with FaultyServer(script) as server:
+            connection = await server.start('r1')
+            await asyncio.sleep(0.5)
+            connection.close()
+            async with asyncio.timeout(10):
+                await server.disconnected.wait()
+
+    start()
+    try:
+        asyncio.run(run_scenario())
+        assert get_traced_memory()[1] < MAX_GROWTH_BYTES
+    finally:
+        stop()
--- a/bergamotshunt/tests/test_mesh_http.py
+++ b/bergamotshunt/tests/test_mesh_http.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from bergamotshunt.daemon import create_runner
+from bergamotshunt.http.bodies import Body
 from bergamotshunt.http.client_connection import ClientConnection, Response
 from bergamotshunt.http.client_pool import ClientPool
 from bergamotshunt.http.exchanges import Exchange
@@ -212,6 +213,31 @@
     assert response.partition(b'\r\n\r\n')[2] == body
 
 
+@given(st.lists(st.tuples(st.integers(1, 9000), st.booleans()), max_size=20))
+@settings(derandomize=True, deadline=None, max_examples=100)
+def test_joined_chunks_keep_their_bytes(steps: list[tuple[int, bool]]) -> None:
+    """Guards against bytes lost or reordered where small chunks are joined.
+
+    Each step feeds a chunk of this size and may read one afterwards.
+    """
+
+    async def run_scenario() -> None:
+        body = Body(lambda _reading: None)
+        fed = received = b''
+        for number, (size, reads) in enumerate(steps):
+            chunk = bytes((number,)) * size
+            fed += chunk
+            body.feed(chunk)
+            if reads:
+                received += await body.read()
+        body.finish()
+        assert body.at_end is (len(received) == len(fed))
+        assert received + await body.read_up_to(1 << 20) == fed
+        assert body.at_end
+
+    asyncio.run(run_scenario())
+
+
 @given(st.binary(max_size=400))
 @settings(derandomize=True, deadline=None, max_examples=150)
 def test_no_bytes_of_a_client_break_the_listener(content: bytes) -> None:
