--- a/bergamotshunt/backend/server_relay.py
+++ b/bergamotshunt/backend/server_relay.py
@@ -1,6 +1,6 @@
 """Forwards requests of peers to the backend server and its responses."""
 
-from asyncio import timeout
+from asyncio import get_running_loop, timeout
 from collections import Counter
 from http import HTTPStatus
 from typing import Final
@@ -41,6 +41,9 @@
 # this much later.
 RESPONSE_GRACE_MS: Final = 150
 MIN_LEFT_MS: Final = 5
+# A large response to a slow client may take this long after its head. One
+# without an end is cut then, so that its slot becomes free.
+RESPONSE_BODY_TIMEOUT_S: Final = 300.0
 
 
 class ServerRelay:
@@ -183,8 +186,14 @@
                 call,
                 left_ms,
             )
-            limit.reschedule(None)
-            await self._relay_response(exchange, response, start)
+            info = read_server_response_info(response.head)
+            if info.refused:
+                await self._relay_refusal(exchange, response, info)
+            else:
+                limit.reschedule(
+                    get_running_loop().time() + RESPONSE_BODY_TIMEOUT_S
+                )
+                await self._relay_response(exchange, response, info, start)
         self._log.write(
             'inbound:ran',
             failed=response.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR,
@@ -196,19 +205,24 @@
             pace=self._server.work_estimator.pace,
         )
 
+    async def _relay_refusal(
+        self,
+        exchange: Exchange,
+        response: Response,
+        info: ServerResponseInfo,
+    ) -> None:
+        _check_promise(response)
+        await response.body.read_up_to(MAX_BUFFERED_BODY_BYTES)
+        self.refuse(exchange, self._create_refusal(info))
+
     async def _relay_response(
         self,
         exchange: Exchange,
         response: Response,
+        info: ServerResponseInfo,
         start: RunStart,
     ) -> None:
         head = response.head
-        info = read_server_response_info(head)
-        if info.refused:
-            _check_promise(response)
-            await response.body.read_up_to(MAX_BUFFERED_BODY_BYTES)
-            self.refuse(exchange, self._create_refusal(info))
-            return
         result = self._end_run(start, info)
         if info.looks_refused:
             raise ResponseLostError(
--- a/bergamotshunt/tests/faulty_server.py
+++ b/bergamotshunt/tests/faulty_server.py
@@ -10,6 +10,7 @@
 from bergamotshunt.backend.server_client import ServerClient
 from bergamotshunt.backend.server_relay import ServerRelay
 from bergamotshunt.backend.slot_queue import RefusedError
+from bergamotshunt.http.client_connection import ClientConnection
 from bergamotshunt.http.client_pool import ClientPool
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.heads import encode_request_head
@@ -52,6 +53,16 @@
     return REFUSAL % (ID_LINE % request_id)
 
 
+def peer_request_head(request_id: str, length: int, left_ms: float) -> bytes:
+    call = PeerCall(request_id, INSTANCE, 'c', left_ms, left_ms, 1)
+    headers = [
+        (b'Host', b'x'),
+        (REQUEST_ID, request_id.encode()),
+        (CALL_HEADER, encode_call(call)),
+    ]
+    return encode_request_head(b'POST', b'/book/1', headers, length)
+
+
 class Turn(NamedTuple):
     """One request at the scripted server, whose body is not read yet."""
 
@@ -139,24 +150,30 @@
         self._server.close()
 
     async def send(
-        self, request_id: str, body: bytes = b'', left_ms: float = 5000
+        self,
+        request_id: str,
+        body: bytes = b'',
+        left_ms: float = 5000,
+        max_bytes: int = 1 << 24,
     ) -> Outcome:
         """Send a request as a peer does."""
-        call = PeerCall(request_id, INSTANCE, 'c', left_ms, left_ms, 1)
-        headers = [
-            (b'Host', b'x'),
-            (REQUEST_ID, request_id.encode()),
-            (CALL_HEADER, encode_call(call)),
-        ]
-        head = encode_request_head(b'POST', b'/book/1', headers, len(body))
+        head = peer_request_head(request_id, len(body), left_ms)
         async with asyncio.timeout(TEST_TIMEOUT_S):
-            response = await self._peer_pool.fetch(head + body, 1 << 24)
+            response = await self._peer_pool.fetch(head + body, max_bytes)
         result = decode_result(
             response.head.by_name.get(RESULT_HEADER.lower(), b'')
         )
         assert result is not None
         return Outcome(result.verdict, response.head.status, response.content)
 
+    async def start(self, request_id: str) -> ClientConnection:
+        """Send a request whose response starts and is not read."""
+        connection = await self._peer_pool.acquire()
+        head = peer_request_head(request_id, 0, 5000)
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            await connection.send_request(head, whole=True)
+        return connection
+
     def count(self, name: str) -> int:
         """Return the value of a counter without labels."""
         return self.metrics.snapshot().counters.get(Series(name), 0)
--- a/bergamotshunt/tests/test_mesh_endless_responses.py
+++ b/bergamotshunt/tests/test_mesh_endless_responses.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bergamotshunt.backend import server_relay
 from bergamotshunt.http.client_connection import MAX_FRAMING_BYTES
 from bergamotshunt.http.client_pool import ClientPool
 from bergamotshunt.platform.store import OutcomeUnknownError, StoreClient
@@ -161,3 +162,124 @@
             await server.disconnected.wait()
 
     asyncio.run(run_scenario())
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'no answer'], ids=['head alone', 'more bytes']
+)
+def test_switched_protocol_fails_only_its_request(body: bytes) -> None:
+    """Guards against an unhandled error of the parser on a switch to another.
+
+    Nobody asks the server to switch protocols.
+    """
+    content = (
+        b'HTTP/1.1 101 Switching Protocols\r\n'
+        b'Connection: upgrade\r\nUpgrade: x\r\n\r\n' + body
+    )
+    errors = []
+
+    async def run_scenario() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _loop, error: errors.append(error))
+        async with FaultyServer(respond(content)) as server:
+            assert await server.send('r1', left_ms=60_000) == LOST
+
+    asyncio.run(run_scenario())
+    assert errors == []
+
+
+def test_refusal_without_end_frees_its_slot() -> None:
+    """Guards against a refusal whose body keeps the slot past the deadline.
+
+    The body has no length, and one byte arrives after the other.
+    """
+
+    async def refuse_slowly(turn: Turn) -> None:
+        await turn.write(refusal(b'r1').replace(b'Content-Length: 0', b'A: 0'))
+        while True:
+            await turn.write(b'x')
+            await asyncio.sleep(0.01)
+
+    async def run_scenario() -> None:
+        async with FaultyServer(refuse_slowly) as server:
+            async with asyncio.timeout(10):
+                assert await server.send('r1', left_ms=100) == LOST
+            await server.disconnected.wait()
+
+    asyncio.run(run_scenario())
+
+
+ENDLESS_BODIES = {
+    'chunks': (CHUNKED_HEAD, b'fa00\r\n' + b'x' * 64_000 + b'\r\n'),
+    'small chunks': (CHUNKED_HEAD, b'2\r\nxx\r\n' * 8000),
+    'no length': (STATUS_LINE + SIGNED, b'x' * 64_000),
+}
+for_each_endless_body = pytest.mark.parametrize(
+    ('start_bytes', 'piece'),
+    ENDLESS_BODIES.values(),
+    ids=ENDLESS_BODIES.keys(),
+)
+
+
+@for_each_endless_body
+def test_body_without_end_is_cut_in_time(
+    monkeypatch: pytest.MonkeyPatch, start_bytes: bytes, piece: bytes
+) -> None:
+    """Guards against a body that keeps its slot as long as a client reads.
+
+    The response must not look complete.
+    """
+
+    async def run_scenario() -> None:
+        script = respond_without_end(start_bytes, piece)
+        async with FaultyServer(script) as server:
+            async with asyncio.timeout(10):
+                with pytest.raises(ConnectionError):
+                    await server.send('r1', left_ms=100, max_bytes=1 << 40)
+            await server.disconnected.wait()
+
+    monkeypatch.setattr(server_relay, 'RESPONSE_BODY_TIMEOUT_S', 0.3)
+    asyncio.run(run_scenario())
+
+
+def test_body_may_arrive_after_the_deadline() -> None:
+    """Guards against cutting a slow download whose head was in time."""
+
+    async def respond_slowly(turn: Turn) -> None:
+        await turn.write(STATUS_LINE + b'Content-Length: 30\r\n' + SIGNED)
+        for _ in range(30):
+            await asyncio.sleep(0.02)
+            await turn.write(b'x')
+
+    async def run_scenario() -> None:
+        async with FaultyServer(respond_slowly) as server:
+            outcome = await server.send('r1', left_ms=100)
+            assert outcome == Outcome(Verdict.RAN, 200, b'x' * 30)
+
+    asyncio.run(run_scenario())
+
+
+@for_each_endless_body
+def test_body_without_end_stops_with_its_reader(
+    start_bytes: bytes, piece: bytes
+) -> None:
+    """Guards against a body that fills the memory, or outlives its reader.
+
+    The peer first doesn't read, then closes its connection.
+    """
+
+    async def run_scenario() -> None:
+        script = respond_without_end(start_bytes, piece)
+        async with FaultyServer(script) as server:
+            connection = await server.start('r1')
+            await asyncio.sleep(0.5)
+            connection.close()
+            async with asyncio.timeout(10):
+                await server.disconnected.wait()
+
+    start()
+    try:
+        asyncio.run(run_scenario())
+        assert get_traced_memory()[1] < MAX_GROWTH_BYTES
+    finally:
+        stop()
