Turn any malformed response of the store into a StoreError

What callers saw: a nested response of the store raises RecursionError, which ends the loops that follow the list and the configuration; an id or a revision beyond 64 bits fails only later, when it is sent or encoded.

Cause: the client has its own lists of expected errors, and int() accepts numbers of any size.

Change: the client decodes through decoding.py and checks that numbers are 64-bit integers; values have to be standard base64 with padding.

--- a/bergamotshunt/platform/store.py
+++ b/bergamotshunt/platform/store.py
@@ -1,25 +1,31 @@
 """Client of the platform's key-value store."""
 
 from asyncio import timeout
-from base64 import b64decode, b64encode
-from collections.abc import Iterator
-from contextlib import contextmanager
+from base64 import b64encode
+from contextlib import AbstractContextManager
 from http import HTTPStatus
 from typing import Any, Final, NamedTuple
 from urllib.parse import urlencode
 
-from msgspec import MsgspecError
-from msgspec.json import decode, encode
+from msgspec.json import encode
 
+from bergamotshunt.decoding import (
+    MalformedInputError,
+    convert_malformed,
+    decode_base64,
+    decode_json,
+)
 from bergamotshunt.http.bodies import IncompleteBodyError
 from bergamotshunt.http.client_connection import NotSentError, ResponseLostError
 from bergamotshunt.http.client_pool import ClientPool
 from bergamotshunt.http.heads import Header, encode_request_head
 from bergamotshunt.mesh_settings import Address
+from bergamotshunt.value_checks import check_integer, check_string
 
 MAX_RESPONSE_BYTES: Final = 4_194_304
 CALL_TIMEOUT_S: Final = 1.0
 MS_PER_S: Final = 1000
+MAX_STORE_INTEGER: Final = 2**64 - 1
 
 
 class StoreError(Exception):
@@ -42,14 +48,6 @@
     """The lease does not exist, or has expired."""
 
 
-# Errors caused by missing fields and fields of a wrong type.
-MALFORMED_ERRORS: Final = (
-    AttributeError,
-    KeyError,
-    OverflowError,
-    TypeError,
-    ValueError,
-)
 ERRORS_BY_STATUS: Final[dict[int, type[StoreError]]] = {
     HTTPStatus.GONE: HistoryGoneError,
     HTTPStatus.NOT_FOUND: LeaseEndedError,
@@ -152,7 +150,7 @@
                 found = [_read_item(entry) for entry in page['items']]
                 # Later pages may show later changes. Taking the revision of
                 # the first page, a watch delivers those changes again.
-                revision = revision or int(page['as_of'])
+                revision = revision or _read_integer('as_of', page['as_of'])
                 has_more = bool(page.get('more_pages'))
             items += found
             if not has_more or not found:
@@ -181,7 +179,7 @@
         )
         with _convert_malformed('kv-watch'):
             items = tuple(_read_item(event) for event in response['events'])
-            return Listing(items, int(response['as_of']))
+            return Listing(items, _read_integer('as_of', response['as_of']))
 
     async def grant_lease(self, ttl_ms: int) -> Lease:
         """Create a lease.
@@ -194,7 +192,10 @@
         """
         response = await self._call('POST', '/-/kv-lease', {'ttl_ms': ttl_ms})
         with _convert_malformed('kv-lease'):
-            return Lease(int(response['lease']), int(response['ttl_ms']))
+            return Lease(
+                _read_integer('lease', response['lease']),
+                _read_integer('ttl_ms', response['ttl_ms']),
+            )
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease.
@@ -240,7 +241,7 @@
             },
         )
         with _convert_malformed('kv-txn'):
-            return int(response['revision'])
+            return _read_integer('revision', response['revision'])
 
     def close(self) -> None:
         """Close all pooled connections."""
@@ -302,37 +303,30 @@
 
 
 def _decode(call: str, content: bytes) -> Any:
-    try:
-        return decode(content) if content else {}
-    except MsgspecError as error:
-        raise OutcomeUnknownError(
-            f'malformed response of the store to {call}: {error}'
-        ) from error
+    with _convert_malformed(call):
+        return decode_json(content, 'body') if content else {}
 
 
-@contextmanager
-def _convert_malformed(call: str) -> Iterator[None]:
+def _convert_malformed(call: str) -> AbstractContextManager[None]:
     """Convert errors of a malformed response to errors of the call."""
-    try:
-        yield
-    except MALFORMED_ERRORS as error:
-        raise OutcomeUnknownError(
-            f'malformed response of the store to {call}: {error!r}'
-        ) from error
+    return convert_malformed(
+        f'malformed response of the store to {call}', OutcomeUnknownError
+    )
+
+
+def _read_integer(name: str, number: Any) -> int:
+    return check_integer(name, int(number), maximum=MAX_STORE_INTEGER)
 
 
 def _read_item(entry: dict[str, Any]) -> Item:
     # An event without "value" is the deletion of its key.
     stored = entry.get('value')
     is_removed = entry.get('tombstone') or not isinstance(stored, str)
-    key = entry['key']
-    if not isinstance(key, str):
-        raise TypeError(f'key {key!r}: expected a string')
     return Item(
-        key=key,
+        key=check_string('key', entry['key']),
         content=None if is_removed else _read_content(str(stored)),
-        revision=int(entry.get('revision', 0)),
-        lease=int(entry.get('lease') or 0),
+        revision=_read_integer('revision', entry.get('revision', 0)),
+        lease=_read_integer('lease', entry.get('lease') or 0),
     )
 
 
@@ -342,6 +336,6 @@
     Other writers may store such values.
     """
     try:
-        return b64decode(stored)
-    except ValueError:
+        return decode_base64(stored, 'value')
+    except MalformedInputError:
         return b''
--- a/bergamotshunt/tests/test_mesh_store.py
+++ b/bergamotshunt/tests/test_mesh_store.py
@@ -10,7 +10,14 @@
 from bergamotshunt.mesh_settings import Address
 from bergamotshunt.platform.store import StoreClient, StoreError, Write
 
-SCALARS = st.none() | st.booleans() | st.integers(-5, 5) | st.text(max_size=4)
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers(-5, 5)
+    | st.text(max_size=4)
+    | st.sampled_from([1e300, -1e300, 2**64 - 1, -(2**63), 'nan', '9' * 30])
+)
+NESTED = b'[' * 100_000
 ITEM = st.dictionaries(
     st.sampled_from(['key', 'value', 'revision', 'lease', 'tombstone']),
     SCALARS,
@@ -47,6 +54,14 @@
 @example(200, b'{"events": [null], "as_of": 1}')
 @example(200, b'{"as_of": 1, "items": [], "more_pages": true}')
 @example(412, b'{}')
+@example(200, NESTED)
+@example(412, NESTED)
+@example(200, b'{"items": [], "as_of":' + NESTED)
+@example(200, b'{"events": [{"key": "a", "value":' + NESTED)
+@example(200, b'{"items": [], "as_of": 99999999999999999999999}')
+@example(200, b'{"items": [], "as_of": 1e300}')
+@example(200, b'{"lease": 1e300, "ttl_ms": 5, "revision": -1}')
+@example(200, b'{"lease": 99999999999999999999999, "ttl_ms": 5}')
 @settings(derandomize=True, deadline=None, max_examples=300)
 def test_any_response_is_decoded_or_raises_store_error(
     status: int,
@@ -55,6 +70,7 @@
     """Guards against malformed responses that end the fleet task.
 
     The explicit examples ended it, or made a listing request pages forever.
+    A result that is used in a later call must be a 64-bit integer.
     """
 
     async def run_scenario() -> None:
@@ -73,9 +89,10 @@
 
 async def call_or_store_error(call: Any) -> None:
     try:
-        await call
+        outcome = await call
     except StoreError:
         return
+    encode(outcome)
 
 
 def test_malformed_value_does_not_hide_other_items() -> None:
