Ignore a pace of the backend server that is not a usable number

What callers saw: a load header of 'nan', 'inf' or a negative pace becomes the pace of the server: the probes of its daemon would sleep for a time that is not a number, and the expected time of each request would be none.

Change: read_server_response_info returns no pace then, as for other text.

--- a/bergamotshunt/platform/requests.py
+++ b/bergamotshunt/platform/requests.py
@@ -26,6 +26,7 @@
     TARGET_INSTANCE,
     TIMEOUT_MS,
 )
+from bergamotshunt.value_checks import MAX_PACE, check_number
 
 # The fourth value of the server's load header is the time that work takes
 # now, in percent of the time at the baseline pace.
@@ -171,6 +172,7 @@
     if len(parts) <= PACE_POSITION:
         return BASELINE_PACE if load_header else None
     try:
-        return float(parts[PACE_POSITION]) / PACE_PERCENT
+        pace = float(parts[PACE_POSITION]) / PACE_PERCENT
+        return check_number('pace', pace, maximum=MAX_PACE)
     except ValueError:
         return None
