Reject headers of peers with values that cannot be used

What callers saw: a call with an instance such as 'i\r\nX: y' or a caller beyond ISO 8859-1 reaches the headers of the request to the backend server or fails while it is encoded; times, depths and counts of any size enter the queue, the estimates and the budget of extra attempts.

Change: decode_call and decode_result use decoding.py and check all values; a header with one that is not allowed counts as malformed, as before.

The fuzzing tests now include out-of-range numbers, NaN and deep nesting for entries, loads, configurations, calls and results. Before the change 22 cases of test_call_with_an_odd_value_is_rejected and test_result_with_an_odd_value_is_rejected failed; now test_mesh_documents.py passes.

--- a/bergamotshunt/peers/peer_calls.py
+++ b/bergamotshunt/peers/peer_calls.py
@@ -2,10 +2,22 @@
 
 from typing import Final, NamedTuple
 
-from msgspec import MsgspecError
-from msgspec.json import decode, encode
-
-from bergamotshunt.backend.loads import Load
+from msgspec.json import encode
+
+from bergamotshunt.backend.loads import Load, check_load
+from bergamotshunt.decoding import (
+    MalformedInputError,
+    convert_malformed,
+    decode_json,
+)
+from bergamotshunt.value_checks import (
+    MAX_DURATION_MS,
+    MAX_INTEGER,
+    check_header_text,
+    check_integer,
+    check_number,
+    check_text,
+)
 from bergamotshunt.verdicts import Verdict
 
 CALL_HEADER: Final = b'Bergamotshunt-Call'
@@ -75,8 +87,9 @@
 def decode_call(content: bytes) -> PeerCall | None:
     """Decode the metadata of a request; return None when it is malformed."""
     try:
-        return decode(content, type=PeerCall)
-    except MsgspecError:
+        with convert_malformed('malformed call'):
+            return _check_call(decode_json(content, 'header', PeerCall))
+    except MalformedInputError:
         return None
 
 
@@ -88,6 +101,32 @@
 def decode_result(content: bytes) -> PeerResult | None:
     """Decode the metadata of a response; return None when it is malformed."""
     try:
-        return decode(content, type=PeerResult)
-    except MsgspecError:
+        with convert_malformed('malformed result'):
+            return _check_result(decode_json(content, 'header', PeerResult))
+    except MalformedInputError:
         return None
+
+
+def _check_call(call: PeerCall) -> PeerCall:
+    check_header_text('instance', call.instance)
+    check_header_text('caller', call.caller)
+    # The time may be over when the request is sent.
+    check_number('time left', call.left_ms, -MAX_DURATION_MS)
+    check_number('objective left', call.objective_left_ms, -MAX_DURATION_MS)
+    check_integer('priority', call.priority, -MAX_INTEGER)
+    check_integer('depth', call.depth)
+    check_number('work', call.work_ms)
+    return call
+
+
+def _check_result(result: PeerResult) -> PeerResult:
+    check_load(result.load)
+    if result.reason:
+        check_text('reason', result.reason)
+    check_number('time', result.took_ms)
+    check_number('work', result.work_ms)
+    check_number('retry time', result.retry_after_ms)
+    for service, count in result.calls:
+        check_header_text('called service', service)
+        check_integer('calls', count)
+    return result
--- a/bergamotshunt/tests/test_mesh_documents.py
+++ b/bergamotshunt/tests/test_mesh_documents.py
@@ -1,10 +1,16 @@
 """Tests which documents the platform adapter accepts and rejects."""
 
 from contextlib import suppress
+from ipaddress import IPv4Address
+from json import dumps
+from math import inf, isfinite, nan
+from random import Random
+from typing import Any
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
+from msgspec import msgpack
 from msgspec.json import decode, encode
 from returns.result import Failure, Success
 
@@ -12,6 +18,13 @@
     LoadDatagramError,
     decode_load_datagram,
 )
+from bergamotshunt.decisions.server_choice import (
+    ServerView,
+    TypicalWork,
+    choose_server,
+    phase_start_delay_ms,
+)
+from bergamotshunt.http.heads import ResponseHead
 from bergamotshunt.mesh_settings import Address, MeshSettings
 from bergamotshunt.peers.peer_calls import decode_call, decode_result
 from bergamotshunt.platform.announcements import (
@@ -25,8 +38,11 @@
     ConfigurationError,
     decode_configuration,
 )
+from bergamotshunt.platform.names import SERVER_LOAD
+from bergamotshunt.platform.requests import read_server_response_info
 from bergamotshunt.routing import AnnouncedState, RequestKind
 from bergamotshunt.tests.mesh import BOOKING_ROUTE, READ_ROUTE, configuration
+from bergamotshunt.value_checks import MAX_SLOTS
 
 SETTINGS_TEXT = """
 node_name=host-1
@@ -149,6 +165,8 @@
 
 
 @given(JSON)
+@example([{'metadata': [], 'entry_kind': 'routes'}])
+@example({'version': 1, 'resources': [{'metadata': [], 'spec': []}]})
 @settings(derandomize=True, deadline=None, max_examples=300)
 def test_any_document_is_decoded_or_rejected(document: object) -> None:
     """Guards against decoders that raise undocumented exceptions."""
@@ -167,7 +185,154 @@
             decoder()
 
 
-@given(st.binary(max_size=200))
+NESTED = b'[' * 100_000
+ODD_NUMBERS = (
+    st.sampled_from(
+        [-1, 2**63, 2**64 - 1, 70_000, 0, 1e300, -1e300, inf, -inf, nan, True]
+    )
+    | st.floats()
+)
+ENTRY = ['i-1', 1, 1, 'shop', 'zone-1', '10.0.0.1', 80, 4, 'ready', 0, 0]
+LOAD: list[Any] = [0, 0, 4, 1.0, 60.0, 0, True, [0, 0, 0, 1, 1]]
+CALL = ['r-1', 'i-1', 'shop', 100, 50, 1, 0, 60]
+RESULT = ['ran', LOAD, '', 5, 5, 0, [['shop', 1]], False]
+
+
+@given(st.integers(0, 10), ODD_NUMBERS | st.text(max_size=4))
+@settings(derandomize=True, deadline=None, max_examples=500)
+def test_accepted_entry_has_values_in_range(position: int, odd: object) -> None:
+    """Guards against a server with an address that cannot be connected to."""
+    fields = [*ENTRY]
+    fields[position] = odd
+    try:
+        entry = decode_entry(dumps(fields).encode())
+    except AnnouncementError:
+        return
+    assert 1 <= entry.inbound_port <= 65_535
+    assert str(IPv4Address(entry.ip)) == entry.ip
+    assert 1 <= entry.slots <= MAX_SLOTS
+    assert 0 <= entry.slot_share <= 1
+    assert isfinite(entry.cold_ms)
+    assert isfinite(entry.slots * entry.slot_share)
+    entry.service.encode('latin-1')
+    assert decode_entry(encode_entry(entry)) == entry
+
+
+@given(st.integers(0, 12), ODD_NUMBERS)
+@settings(derandomize=True, deadline=None, max_examples=500)
+def test_accepted_load_permits_a_choice(position: int, odd: object) -> None:
+    """Guards against a load report that breaks the choice of a server.
+
+    With an expected time that is not a number, no server is chosen.
+    """
+    load = [*LOAD[:7], [*LOAD[7]]]
+    if position < 7:
+        load[position] = odd
+    else:
+        load[7][position - 8] = odd
+    report = ['i-1', load, 1, None]
+    try:
+        datagram = decode_load_datagram(msgpack.encode([report, None]))
+    except LoadDatagramError:
+        return
+    assert datagram.report is not None
+    views = [
+        ServerView('i-1', True, datagram.report.load, age_ms)
+        for age_ms in (0, 500)
+    ]
+    for work in (TypicalWork(), TypicalWork(100)):
+        assert choose_server(views, work, Random(1)) or not load[6]
+        assert isfinite(phase_start_delay_ms(views, work, 100))
+
+
+@pytest.mark.parametrize(
+    ('position', 'odd'),
+    [
+        (1, 'i\r\nX: y'),
+        (1, ''),
+        (2, 'ł'),
+        (3, -1e300),
+        (3, 1e300),
+        (3, 2**64 - 1),
+        (4, 1e300),
+        (5, 2**64 - 1),
+        (6, -1),
+        (6, 2**64 - 1),
+        (7, -1),
+        (7, 1e300),
+    ],
+)
+def test_call_with_an_odd_value_is_rejected(position: int, odd: object) -> None:
+    """Guards against values of a peer that reach the backend server."""
+    assert decode_call(encode(CALL)) is not None
+    call = [*CALL]
+    call[position] = odd
+    assert decode_call(encode(call)) is None
+
+
+@pytest.mark.parametrize(
+    ('position', 'odd'),
+    [
+        (1, [-1, *LOAD[1:]]),
+        (1, [0, 0, 4, 1e300, *LOAD[4:]]),
+        (2, 'a\nb'),
+        (2, 'x' * 5000),
+        (3, 1e300),
+        (3, -1),
+        (4, 1e300),
+        (5, 2**64 - 1),
+        (6, [['shop', -1]]),
+        (6, [['shop', 2**64 - 1]]),
+    ],
+)
+def test_result_with_an_odd_value_is_rejected(
+    position: int, odd: object
+) -> None:
+    """Guards against values of a peer that distort the estimates."""
+    assert decode_result(encode(RESULT)) is not None
+    result = [*RESULT]
+    result[position] = odd
+    assert decode_result(encode(result)) is None
+
+
+@pytest.mark.parametrize('pace', [b'nan', b'inf', b'-1', b'1e300', b'x'])
+def test_odd_pace_of_a_server_is_ignored(pace: bytes) -> None:
+    """Guards against a pace that ends the probes or breaks the choice."""
+    by_name = {SERVER_LOAD.lower(): b'0,0,8,' + pace}
+    head = ResponseHead(200, (), by_name)
+    assert read_server_response_info(head).pace is None
+
+
+def test_nested_content_is_rejected() -> None:
+    """Guards against RecursionError, which no reader of content expects."""
+    for content in (NESTED, b'{"a":' * 100_000, b'{"resources":' + NESTED):
+        with pytest.raises(AnnouncementError):
+            decode_announcement('i-1', content, valid_settings())
+        with pytest.raises(AnnouncementError):
+            decode_entry(content)
+        with pytest.raises(ConfigurationError):
+            decode_configuration(content)
+        assert decode_call(content) is None
+        assert decode_result(content) is None
+    with pytest.raises(LoadDatagramError):
+        decode_load_datagram(b'\x91' * 100_000)
+
+
+def test_reason_of_a_rejection_is_short() -> None:
+    """Guards against log lines as long as the input of another writer."""
+    odd = {'state': 'x' * 1_000_000, 'service': ['y' * 1_000_000]}
+    for name, text in odd.items():
+        with pytest.raises(AnnouncementError) as rejection:
+            decode_announcement(
+                'i-1', encode(ANNOUNCEMENT | {name: text}), valid_settings()
+            )
+        assert len(str(rejection.value)) < 400
+
+
+@given(
+    st.binary(max_size=200)
+    | st.sampled_from([b'\x91' * 1200, b'[' * 2000, b'\x92' * 60_000])
+)
 @settings(derandomize=True, deadline=None, max_examples=300)
 def test_any_bytes_of_a_peer_are_decoded_or_ignored(content: bytes) -> None:
     """Guards against exceptions on malformed datagrams and headers."""
