Start a loop of a task again after an unexpected error

What callers saw: when a loop that follows the list, the configuration or the own entry ended with an error, the daemon logged one line, stayed ready and worked with the state of that moment until it was restarted.

Cause: the children of a task are only observed (Task._on_child_done); nothing starts them again.

Change: Task.spawn_loop starts a loop again after a second and publishes LoopFailed. The loops of fleet, routes and loads use it.

--- a/bergamotshunt/kernel.py
+++ b/bergamotshunt/kernel.py
@@ -9,6 +9,7 @@
     create_task,
     gather,
     get_running_loop,
+    sleep,
     timeout,
     wait_for,
 )
@@ -26,14 +27,17 @@
 from bergamotshunt import plugins as plugin_package
 from bergamotshunt.log import log_error, log_event
 from bergamotshunt.mesh_settings import MeshSettings
-from bergamotshunt.messages import PortBound
+from bergamotshunt.messages import LoopFailed, PortBound
 from bergamotshunt.registries import Registry
 from bergamotshunt.settings import Settings
 
 MAX_MAILBOX_MESSAGES: Final = 10_000
 ASK_TIMEOUT_S: Final = 10
+# Bounds the log and the calls of a loop that fails at once each time.
+LOOP_RESTART_DELAY_S: Final = 1.0
 
 Handler = Callable[[Any, Any], Any]
+Loop = Callable[[], Coroutine[Any, Any, None]]
 HandlerType = TypeVar('HandlerType', bound=Handler)
 
 
@@ -224,11 +228,35 @@
         child.add_done_callback(self._on_child_done)
         return child
 
+    def spawn_loop(self, loop: Loop) -> AsyncioTask[None]:
+        """Run an endless loop as a child.
+
+        When it ends with an error, ``LoopFailed`` is published and the loop
+        is started again, as nothing else would do its work.
+
+        Args:
+            loop: Coroutine function without arguments.
+        """
+        return self.spawn(self._keep_running(loop))
+
     async def run(self) -> None:
         """Handle messages until the task is cancelled."""
         while True:
             self._handle(await self.mailbox.get())
 
+    async def _keep_running(self, loop: Loop) -> None:
+        while True:
+            try:
+                await loop()
+            except TaskStoppedError:
+                # The daemon stops.
+                return
+            except Exception as error:
+                name = loop.__name__
+                log_error('task:loop-failed', error, task=self.name, loop=name)
+                self.bus.publish(LoopFailed(self.name, name))
+            await sleep(LOOP_RESTART_DELAY_S)
+
     def _handle(self, envelope: Envelope) -> None:
         handler = self.handlers.by_type[type(envelope.message)]
         try:
--- a/bergamotshunt/messages.py
+++ b/bergamotshunt/messages.py
@@ -66,6 +66,18 @@
     port: int
 
 
+class LoopFailed(NamedTuple):
+    """A loop of a task ended with an error and is started again.
+
+    Attributes:
+        task: Name of the task.
+        loop: Name of the loop.
+    """
+
+    task: str
+    loop: str
+
+
 class ServerStateChanged(NamedTuple):
     """The state of the backend server beside this daemon changed."""
 
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -69,9 +69,9 @@
 
     async def start(self) -> None:
         """Start to write this server's entry and to watch and expire all."""
-        self.spawn(self._run_own_entry())
-        self.spawn(self._run_watch())
-        self.spawn(self._run_expiry())
+        self.spawn_loop(self._run_own_entry)
+        self.spawn_loop(self._run_watch)
+        self.spawn_loop(self._run_expiry)
 
     async def close(self) -> None:
         """Close the connections to the store."""
--- a/bergamotshunt/plugins/mesh/loads.py
+++ b/bergamotshunt/plugins/mesh/loads.py
@@ -77,8 +77,8 @@
 
     async def start(self) -> None:
         """Start the periodic subscriptions and reports."""
-        self.spawn(self._run_subscriptions())
-        self.spawn(self._run_reports())
+        self.spawn_loop(self._run_subscriptions)
+        self.spawn_loop(self._run_reports)
 
     async def close(self) -> None:
         """Close the socket."""
--- a/bergamotshunt/plugins/mesh/readiness.py
+++ b/bergamotshunt/plugins/mesh/readiness.py
@@ -1,16 +1,20 @@
 """Readiness: reports whether this daemon can serve requests of clients."""
 
 from http import HTTPStatus
+from typing import Any
 
+from bergamotshunt.decisions.loop_failures import LoopFailures
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.log import log_event
 from bergamotshunt.mesh_messages import (
+    DescribeState,
     RoutingChanged,
     ServersChanged,
     StopRequested,
 )
 from bergamotshunt.mesh_task import ListeningTask, settings_of
+from bergamotshunt.messages import LoopFailed
 from bergamotshunt.platform.announcements import READY_PATH
 
 
@@ -27,14 +31,20 @@
         self._server_count = 0
         self._stopping = False
         self._was_ready = False
+        self._loop_failures = LoopFailures()
 
     @property
     def ready(self) -> bool:
-        """Whether routes and a server are known and no stop is in progress."""
+        """Whether this daemon can serve requests.
+
+        Routes and a server are known, no stop is in progress, and no loop
+        of a task fails again and again.
+        """
         return (
             self._has_routing
             and bool(self._server_count)
             and not self._stopping
+            and not self._failing_loops()
         )
 
     @handlers.on(RoutingChanged)
@@ -55,8 +65,29 @@
         self._stopping = True
         self._log_change()
 
+    @handlers.on(LoopFailed)
+    def handle_loop_failure(self, message: LoopFailed) -> None:
+        """Count a loop that ended with an error."""
+        self.metrics.increment(
+            'loop_failures', task=message.task, loop=message.loop
+        )
+        self._loop_failures.record(
+            f'{message.task}.{message.loop}', self.context.clock()
+        )
+        self._log_change()
+
+    def describe_state(self, _message: DescribeState) -> dict[str, Any]:
+        """Return whether the daemon is ready, and its failing loops."""
+        return {
+            'readiness': {
+                'ready': self.ready,
+                'failing_loops': self._failing_loops(),
+            },
+        }
+
     async def serve(self, exchange: Exchange) -> None:
         """Serve a readiness check."""
+        self._log_change()
         path = exchange.head.target.decode('latin-1').partition('?')[0]
         status = HTTPStatus.SERVICE_UNAVAILABLE
         if path != READY_PATH:
@@ -65,6 +96,9 @@
             status = HTTPStatus.OK
         exchange.respond(status, [])
 
+    def _failing_loops(self) -> list[str]:
+        return self._loop_failures.failing_loops(self.context.clock())
+
     def _log_change(self) -> None:
         if self.ready == self._was_ready:
             return
@@ -75,6 +109,7 @@
             routed=self._has_routing,
             servers=self._server_count,
             stopping=self._stopping,
+            failing_loops=self._failing_loops(),
         )
 
 
--- a/bergamotshunt/plugins/mesh/routes.py
+++ b/bergamotshunt/plugins/mesh/routes.py
@@ -55,7 +55,7 @@
 
     async def start(self) -> None:
         """Start to watch the store."""
-        self.spawn(self._run_watch())
+        self.spawn_loop(self._run_watch)
 
     async def close(self) -> None:
         """Close the connections to the store."""
