Connect to the corrected port of a backend server

What callers saw: after an entry with a wrong but valid port, requests were sent to that port even when the right entry had arrived, because the record of a server is kept while its IP address stays the same.

Change: the record is kept only while IP address and port stay the same.

test_corrected_port_of_a_server_is_used failed before (8001 == 8000).

--- a/bergamotshunt/choice/server_records.py
+++ b/bergamotshunt/choice/server_records.py
@@ -56,6 +56,11 @@
         self._fault_share_at_s: float = 0
         self._unreachable_at_s = -inf
 
+    def has_address_of(self, entry: ServerEntry) -> bool:
+        """Return whether requests are sent to the address of an entry."""
+        pool = self.pool
+        return (pool.ip, pool.port) == (entry.ip, entry.inbound_port)
+
     def apply_report(self, load: Load, now_s: float) -> None:
         """Apply a load report."""
         is_slower = load.pace > self.load.pace * SLOWER_FACTOR
@@ -142,19 +147,18 @@
     def replace(self, servers_by_instance: dict[str, ServerEntry]) -> None:
         """Replace the known servers.
 
-        The record of a server is kept unless its IP address has changed.
+        The record of a server is kept unless its address has changed.
         """
         for instance in self.by_instance.keys() - servers_by_instance.keys():
             self.by_instance.pop(instance).pool.close()
         for entry in servers_by_instance.values():
             known = self.by_instance.get(entry.instance)
-            if known is None or known.entry.ip != entry.ip:
-                self.by_instance[entry.instance] = ServerRecord(
-                    entry,
-                    self._zone,
-                )
-            else:
+            if known is not None and known.has_address_of(entry):
                 known.entry = entry
+                continue
+            if known is not None:
+                known.pool.close()
+            self.by_instance[entry.instance] = ServerRecord(entry, self._zone)
         self._by_service = {}
         for record in self.by_instance.values():
             self._by_service.setdefault(record.entry.service, []).append(
--- a/bergamotshunt/tests/test_mesh_odd_entries.py
+++ b/bergamotshunt/tests/test_mesh_odd_entries.py
@@ -9,6 +9,7 @@
 import pytest
 from msgspec import json
 
+from bergamotshunt.choice.server_records import ServerRecords
 from bergamotshunt.platform.announcements import (
     ENTRY_KEY_PREFIX,
     encode_entry,
@@ -165,6 +166,18 @@
     run_in_mesh(scenario)
 
 
+def test_corrected_port_of_a_server_is_used() -> None:
+    """Guards against requests that are sent to the port of an odd entry.
+
+    The entry is valid but wrong, and a later one of the same server is right.
+    """
+    records = ServerRecords('zone-1')
+    odd = server_entry(OTHER_IP, inbound_port=8001)
+    for entry in (odd, server_entry(OTHER_IP, sequence=2)):
+        records.replace({entry.instance: entry})
+    assert records.by_instance[odd.instance].pool.port == 8000
+
+
 def stored_slots(mesh: Mesh) -> int:
     contents = mesh.store.read_values(
         ENTRY_KEY_PREFIX + mesh.hosts[0].settings.ip
