--- a/bergamotshunt/plugins/mesh/routes.py
+++ b/bergamotshunt/plugins/mesh/routes.py
@@ -64,7 +64,7 @@
 
     async def start(self) -> None:
         """Start to watch the store."""
-        self.spawn(self._watch.run())
+        self.spawn_loop(self._watch.run)
 
     async def close(self) -> None:
         """Close the connections to the store."""
--- a/standins/mesh_store.py
+++ b/standins/mesh_store.py
@@ -8,6 +8,7 @@
 
 from msgspec.json import decode, encode
 
+from bergamotshunt.http.connection_ends import CloseReason
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.listeners import Listener
 
@@ -78,7 +79,7 @@
     def reset_connections(self) -> None:
         """Reset all open connections."""
         for connection in tuple(self._listener.connections):
-            connection.abort()
+            connection.abort(CloseReason.SHUTDOWN)
 
     def compact(self) -> None:
         """Drop the history up to the current revision."""
