Keep following the targets past an odd entry of another writer

What operators saw: after one odd newest change in the platform (no JSON, nested 100,000 deep, a revision of more than 64 bits) the reader of a zone watched the platform no more; after an odd service or an odd change record a daemon never loaded its targets or never caught up; a share of 1e308 or a huge objective came into force.

Cause: decoding errors were raised out of the loops of the reader and of the targets sync, which ended (task:child-failed); RecursionError and TypeError were in none of the lists of expected errors, and no decoder checked the range of a value.

Pushes and pulls of peers use the same codec (status 400).

The state machine test of the targets unwraps results now, with the same assertions.

--- a/bergamotshunt/decisions/validation.py
+++ b/bergamotshunt/decisions/validation.py
@@ -190,6 +190,23 @@
     return ValidationResult(build_service(document, service), ())
 
 
+def check_stored_service(document: Mapping[str, Any]) -> list[FieldError]:
+    """Validate the fields of a targets document that was accepted before.
+
+    The rules that only a new document must meet, such as distinct names, are
+    not checked.
+
+    Args:
+        document: Decoded JSON whose fields have the documented types.
+    """
+    errors = check_fields(document, SERVICE_RULES, ('service',), '')
+    errors = [error for error in errors if error.field != 'targets']
+    for index, target in enumerate(document.get('targets', ())):
+        prefix = f'targets[{index}].'
+        errors.extend(check_fields(target, TARGET_RULES, ('name',), prefix))
+    return errors
+
+
 def check_fields(
     document: Mapping[str, Any],
     rules: Mapping[str, Rule],
--- a/bergamotshunt/operators/targets_catch_up.py
+++ b/bergamotshunt/operators/targets_catch_up.py
@@ -51,11 +51,11 @@
 
 
 def closes_gap(changes: tuple[Change, ...], after_revision: int) -> bool:
-    """Return whether the changes start right after a revision.
+    """Return whether the changes follow a revision without a gap.
 
     False also when there are none or too many of them.
     """
-    return (
-        0 < len(changes) <= MAX_FETCHED_CHANGES
-        and changes[0].revision == after_revision + 1
-    )
+    if not 0 < len(changes) <= MAX_FETCHED_CHANGES:
+        return False
+    expected = range(after_revision + 1, after_revision + 1 + len(changes))
+    return [change.revision for change in changes] == list(expected)
--- a/bergamotshunt/operators/targets_codec.py
+++ b/bergamotshunt/operators/targets_codec.py
@@ -2,8 +2,14 @@
 
 from typing import Final
 
-from msgspec.json import decode, encode
+from msgspec.json import encode
 
+from bergamotshunt.decisions.validation import check_stored_service
+from bergamotshunt.decoding import (
+    MalformedInputError,
+    convert_malformed,
+    decode_json,
+)
 from bergamotshunt.operators.targets import (
     Change,
     ChangeDocument,
@@ -12,6 +18,7 @@
     Target,
     TargetDocument,
 )
+from bergamotshunt.value_checks import check_integer
 
 TARGETS_PREFIX: Final = 'targets/'
 # Holds the newest change itself, so that a watch needs no further read.
@@ -61,7 +68,15 @@
 
 
 def service_from_document(document: ServiceDocument) -> ServiceTargets:
-    """Convert a JSON document to the targets of a service."""
+    """Convert a JSON document to the targets of a service.
+
+    Raises:
+        MalformedInputError: A field is missing or has a value that is not
+            allowed.
+    """
+    errors = check_stored_service(document)
+    if errors:
+        raise MalformedInputError(f'{errors[0].field} {errors[0].detail}')
     fields = dict(document)
     fields['targets'] = tuple(
         map(target_from_document, document.get('targets', ()))
@@ -94,11 +109,18 @@
 
 
 def change_from_document(document: ChangeDocument) -> Change:
-    """Convert a JSON document to a change."""
+    """Convert a JSON document to a change.
+
+    Raises:
+        MalformedInputError: A field is missing or has a value that is not
+            allowed.
+    """
+    with convert_malformed('change of targets'):
+        revision = check_integer('revision', document['revision'], 1)
     before = document['before']
     after = document['after']
     return Change(
-        revision=document['revision'],
+        revision=revision,
         service=document['service'],
         before=None if before is None else service_from_document(before),
         after=None if after is None else service_from_document(after),
@@ -118,9 +140,11 @@
     """Decode a change from JSON.
 
     Raises:
-        msgspec.DecodeError: The content is not the document of a change.
+        MalformedInputError: The content is not the document of a change.
     """
-    return change_from_document(decode(content, type=ChangeDocument))
+    return change_from_document(
+        decode_json(content, 'change of targets', ChangeDocument)
+    )
 
 
 def encode_service(service: ServiceTargets) -> bytes:
@@ -132,6 +156,8 @@
     """Decode a service's targets from JSON.
 
     Raises:
-        msgspec.DecodeError: The content is not the document of a service.
+        MalformedInputError: The content is not the document of a service.
     """
-    return service_from_document(decode(content, type=ServiceDocument))
+    return service_from_document(
+        decode_json(content, 'targets of a service', ServiceDocument)
+    )
--- a/bergamotshunt/operators/targets_peer_api.py
+++ b/bergamotshunt/operators/targets_peer_api.py
@@ -2,9 +2,14 @@
 
 from typing import Final, TypedDict
 
-from msgspec.json import decode, encode
+from msgspec.json import encode
 from returns.result import Failure, Result, Success
 
+from bergamotshunt.decoding import (
+    MalformedInputError,
+    convert_malformed,
+    decode_json,
+)
 from bergamotshunt.http.transport import HttpClient, HttpRequest
 from bergamotshunt.kernel import MessageBus
 from bergamotshunt.messages import (
@@ -27,6 +32,7 @@
 )
 from bergamotshunt.peers.members import Member
 from bergamotshunt.peers.peer_api import PEER_ENDPOINTS
+from bergamotshunt.value_checks import check_integer
 
 PUSH_PATH: Final = '/bergamotshunt/targets/push'
 PULL_PATH: Final = '/bergamotshunt/targets/pull'
@@ -139,19 +145,30 @@
         The changes or snapshot, or None when the body is malformed.
     """
     try:
-        document = decode(body, type=PullResponseDocument)
-    except ValueError:
+        return parse_pull_response(body)
+    except MalformedInputError:
         return None
+
+
+def parse_pull_response(body: bytes) -> PulledTargets:
+    """Decode the response to a pull.
+
+    Raises:
+        MalformedInputError: The body is not the document of a response.
+    """
+    subject = 'response to a pull'
+    document = decode_json(body, subject, PullResponseDocument)
     snapshot = None
     if document['snapshot'] is not None:
         snapshot = tuple(map(service_from_document, document['snapshot']))
-    return PulledTargets(
-        loaded=document['loaded'],
-        revision=document['revision'],
-        age_ms=document['age_ms'],
-        changes=tuple(map(change_from_document, document['changes'])),
-        snapshot=snapshot,
-    )
+    with convert_malformed(subject):
+        return PulledTargets(
+            loaded=document['loaded'],
+            revision=check_integer('revision', document['revision']),
+            age_ms=check_integer('age_ms', document['age_ms']),
+            changes=tuple(map(change_from_document, document['changes'])),
+            snapshot=snapshot,
+        )
 
 
 def encode_pull_response(pulled: PulledTargets) -> bytes:
@@ -174,7 +191,7 @@
 @PEER_ENDPOINTS.register(PUSH_PATH)
 async def serve_push(bus: MessageBus, body: bytes) -> bytes:
     """Publish a change that a peer pushed."""
-    document = decode(body, type=PushRequestDocument)
+    document = decode_json(body, 'push of a change', PushRequestDocument)
     change = change_from_document(document['change'])
     bus.publish(ChangeReceived(change, document['daemon_id']))
     return b'{}'
@@ -183,5 +200,5 @@
 @PEER_ENDPOINTS.register(PULL_PATH)
 async def serve_pull(bus: MessageBus, body: bytes) -> bytes:
     """Return what a peer is missing."""
-    document = decode(body, type=PullRequestDocument)
+    document = decode_json(body, 'pull of changes', PullRequestDocument)
     return encode_pull_response(await bus.ask(PullTargets(**document)))
--- a/bergamotshunt/plugins/reader.py
+++ b/bergamotshunt/plugins/reader.py
@@ -19,12 +19,16 @@
     StoreFailure,
     StoreWatch,
 )
-from bergamotshunt.operators.targets_codec import HEAD_KEY, decode_change
+from bergamotshunt.operators.targets_codec import HEAD_KEY
 from bergamotshunt.operators.targets_messages import (
     ReaderElected,
 )
 from bergamotshunt.peers.members import Member
-from bergamotshunt.store.platform_targets import fetch_head
+from bergamotshunt.store.platform_targets import (
+    change_of_entry,
+    fetch_head,
+    try_decode,
+)
 
 HANDLERS: Final = HandlerTable()
 # A watch that ends without an event costs the platform one call.
@@ -129,7 +133,9 @@
             return
         self.head_mod_revision = entry.mod_revision
         if entry.content:
-            self.bus.publish(ChangeReceived(decode_change(entry.content)))
+            change = try_decode(change_of_entry, entry)
+            if change is not None:
+                self.bus.publish(ChangeReceived(change))
 
 
 @HANDLERS.on(MembersChanged)
--- a/bergamotshunt/store/submitter.py
+++ b/bergamotshunt/store/submitter.py
@@ -27,7 +27,6 @@
 from bergamotshunt.operators.targets_codec import (
     HEAD_KEY,
     change_key,
-    decode_change,
     encode_change,
     encode_service,
     service_key,
@@ -40,16 +39,19 @@
 from bergamotshunt.store.platform_targets import (
     EntriesResult,
     Head,
+    create_malformed_failure,
     fetch_changes,
     fetch_head,
     fetch_service,
     first_failure,
+    read_first_change,
 )
 
 # Changes of other services may advance the head between read and commit.
 MAX_ATTEMPTS: Final = 8
 MIN_BACKOFF_S: Final = 0.02
 MAX_BACKOFF_S: Final = 0.4
+MAX_REVISION_DIGITS: Final = 16
 # Change records to search for the one that removed a service.
 MAX_SEARCHED_CHANGES: Final = 1000
 
@@ -185,9 +187,10 @@
         submission: tuple[StoreEntry, ...],
     ) -> Result[SubmissionView, StoreFailure]:
         if submission:
-            earlier_change = await self._fetch_change(
-                int(submission[0].content)
-            )
+            revision = parse_revision(submission[0].content)
+            if revision is None:
+                return Failure(create_malformed_failure(submission[0].key))
+            earlier_change = await self._fetch_change(revision)
             return earlier_change.map(
                 lambda change: view._replace(earlier_change=change)
             )
@@ -203,7 +206,7 @@
         outcome: EntriesResult = await self._bus.ask(
             StoreGet(change_key(revision))
         )
-        return outcome.map(read_first_change)
+        return outcome.bind(read_first_change)
 
     async def _fetch_last_change(
         self,
@@ -239,9 +242,10 @@
     return 0 if service is None else service.revision
 
 
-def read_first_change(entries: tuple[StoreEntry, ...]) -> Change | None:
-    """Decode the change from the entries of its key."""
-    return decode_change(entries[0].content) if entries else None
+def parse_revision(content: bytes) -> int | None:
+    """Parse the revision that a submission created; None if malformed."""
+    is_valid = content.isdigit() and len(content) <= MAX_REVISION_DIGITS
+    return int(content) if is_valid else None
 
 
 def find_last(changes: tuple[Change, ...], service: str) -> Change | None:
--- a/bergamotshunt/tests/test_targets_machine.py
+++ b/bergamotshunt/tests/test_targets_machine.py
@@ -58,11 +58,12 @@
 from bergamotshunt.store.platform_targets import (
     decode_head,
     read_changes,
+    read_first_change,
     read_snapshot,
     read_stored_service,
 )
 from bergamotshunt.store.store_codec import StoreCodec
-from bergamotshunt.store.submitter import build_commit, read_first_change
+from bergamotshunt.store.submitter import build_commit
 from standins.platform_data import KeyValueData
 
 DAEMONS = ('d1', 'd2', 'd3')
@@ -160,7 +161,9 @@
     ) -> None:
         """Create an operator's change that expects the current revision."""
         key = service_key(service)
-        stored_service, _ = read_stored_service(read(self.data, StoreGet(key)))
+        stored_service, _ = read_stored_service(
+            read(self.data, StoreGet(key))
+        ).unwrap()
         after = None
         if not removes:
             target = Target('only', weight=float(number))
@@ -186,17 +189,17 @@
         message = self.submissions[pick % len(self.submissions)]
         head = decode_head(
             read(self.source('head' in stale), StoreGet(HEAD_KEY))
-        )
+        ).unwrap()
         stored_key = service_key(message.service)
         service, mod_revision = read_stored_service(
             read(self.source('targets' in stale), StoreGet(stored_key))
-        )
+        ).unwrap()
         key = submission_key(message.operator, message.submission_id)
         accepted_entries = read(self.source('id' in stale), StoreGet(key))
         view = SubmissionView(head.revision, service)
         if accepted_entries:
             record = StoreGet(change_key(int(accepted_entries[0].content)))
-            earlier_change = read_first_change(read(self.data, record))
+            earlier_change = read_first_change(read(self.data, record)).unwrap()
             view = view._replace(earlier_change=earlier_change)
         decision = decide_submission(message, view, 0)
         if isinstance(decision, Repeated):
@@ -239,7 +242,9 @@
     @rule(daemon=daemons, stale=flags)
     def read_platform(self, daemon: str, stale: bool) -> None:
         state = self.states[daemon]
-        head = decode_head(read(self.source(stale), StoreGet(HEAD_KEY)))
+        head = decode_head(
+            read(self.source(stale), StoreGet(HEAD_KEY))
+        ).unwrap()
         if state.contacts.loaded:
             self.replace_state(
                 daemon, update_from_head(state, head.change, self.now_ms)
@@ -308,7 +313,7 @@
         self.states[daemon] = TargetsState()
         self.last_revisions[daemon] = 0
         data = self.source(stale)
-        head = decode_head(read(data, StoreGet(HEAD_KEY)))
+        head = decode_head(read(data, StoreGet(HEAD_KEY))).unwrap()
         peer_revisions = tuple(
             PeerRevision(peer, state.log.revision, response.age_ms)
             for peer in sorted(peers)
@@ -323,7 +328,7 @@
             return
         snapshot = read_snapshot(
             read(data, StoreGet(TARGETS_PREFIX, prefix=True))
-        )
+        ).unwrap()
         if plan.addresses:
             peer_log = self.states[plan.addresses[0]].log
             snapshot = peer_log.target_set
@@ -353,7 +358,7 @@
     @invariant()
     def each_change_exists_once_with_its_record(self) -> None:
         changes = self.changes()
-        head = decode_head(read(self.data, StoreGet(HEAD_KEY)))
+        head = decode_head(read(self.data, StoreGet(HEAD_KEY))).unwrap()
         revisions = [change.revision for change in changes]
         assert revisions == list(range(1, head.revision + 1))
         ids = [change.submission_id for change in changes]
@@ -369,7 +374,7 @@
         by_service = self.targets_at(head.revision).by_service
         assert len(stored) == len(by_service)
         for entry in stored:
-            service, _ = read_stored_service((entry,))
+            service, _ = read_stored_service((entry,)).unwrap()
             assert service is not None
             assert by_service[service.service] == service
 
