--- a/bench/mesh_actions.py
+++ b/bench/mesh_actions.py
@@ -88,6 +88,14 @@
     host.daemon.kill_late(lifetime)
 
 
+@planned('stop-all')
+async def stop_all_daemons(
+    fleet: SoakFleet, _host: MeshHost, _event: SoakEvent
+) -> None:
+    """Send SIGTERM to all daemons while clients go on, and end the soak."""
+    await fleet.finish()
+
+
 @planned('reload')
 async def reload_daemon(
     _fleet: SoakFleet, host: MeshHost, _event: SoakEvent
--- a/bench/mesh_plan.py
+++ b/bench/mesh_plan.py
@@ -71,6 +71,8 @@
             start_s, registry = end_s + GRACE_S / 2, FAULT_STAGES
         else:
             start_s, registry = end_s + CONTACT_S + 1, PLANNED_STAGES
+    end_s = max(event.at_s + event.duration_s for event in events) + GRACE_S
+    events.append(SoakEvent(round(end_s, 2), 'stop-all', 0))
     return tuple(sorted(events))
 
 
--- a/bench/mesh_report.py
+++ b/bench/mesh_report.py
@@ -1,12 +1,13 @@
 """Output of a soak: counts, violations and their traces."""
 
 from collections import Counter
+from http import HTTPStatus
 from pathlib import Path
 from typing import Final
 
 from bench.mesh_checks import Violation
 from bench.mesh_plan import SoakEvent
-from bench.mesh_records import GRACE_S, History
+from bench.mesh_records import GRACE_S, History, Outcome
 from bench.mesh_soak_cases import SoakCase
 
 MAX_TRACES: Final = 4
@@ -30,6 +31,22 @@
     )
 
 
+def write_requests(history: History, start_s: float, folder: Path) -> None:
+    """Write one line for each request that did not get status 200."""
+    lines = [
+        f'{record.sent_s - start_s:.3f} to {record.ended_s - start_s:.3f} s '
+        f'{record.host} process {record.lifetime} '
+        f'"{record.request.request_id}" {record.request.kind} '
+        f'status {record.status} {record.outcome.value}, '
+        f'{record.received_bytes} of {record.request.size} bytes\n'
+        for record in history.requests
+        if record.status != HTTPStatus.OK
+        or record.outcome is not Outcome.COMPLETE
+    ]
+    path = folder / 'requests.log'
+    path.write_text(''.join(lines), encoding='utf-8')
+
+
 def print_violations(
     violations: list[Violation],
     events: tuple[SoakEvent, ...],
--- a/bench/mesh_soak.py
+++ b/bench/mesh_soak.py
@@ -18,7 +18,11 @@
 from bench.mesh_clients import CLIENT_KINDS, SoakClient
 from bench.mesh_fleet import SoakFleet
 from bench.mesh_plan import plan_events
-from bench.mesh_report import print_summary, print_violations
+from bench.mesh_report import (
+    print_summary,
+    print_violations,
+    write_requests,
+)
 from bench.mesh_soak_cases import CI_CASES, SoakCase, read_known_red
 
 CLIENTS_BY_KIND: Final = {'downloader': 3, 'version': 1}
@@ -43,9 +47,10 @@
             for number in range(CLIENTS_BY_KIND.get(kind, DEFAULT_CLIENTS))
         ]
         await gather(*(run_event(fleet, event) for event in events))
-        await fleet.finish(clients)
+        await gather(*clients)
     violations = find_violations(fleet.history)
     print_summary(case, fleet.history, violations)
+    write_requests(fleet.history, start_s, folder)
     print_violations(violations, events, start_s, folder)
     return violations
 
--- a/standins/mesh_link.py
+++ b/standins/mesh_link.py
@@ -123,6 +123,8 @@
                 await self._wait_until_passed(direction, len(chunk))
                 if writer in self._silenced:
                     await Event().wait()
+                if writer.is_closing():
+                    return
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
