--- a/bench/mesh_process.py
+++ b/bench/mesh_process.py
@@ -10,7 +10,7 @@
 from time import monotonic
 from typing import Final
 
-from bench.mesh_records import History, ProcessExit
+from bench.mesh_records import History, ProcessExit, Stop
 from bench.processes import Child, die_with_parent
 from bergamotshunt.mesh_settings import Address
 from bergamotshunt.platform.boot import FILE_VARIABLE
@@ -110,7 +110,8 @@
             return
         if not self._stopped_s:
             self._stopped_s = monotonic()
-            self._history.stops[self.name].append(self._stopped_s)
+            stop = Stop(self.name, self.lifetime, self._stopped_s)
+            self._history.stops.append(stop)
         self._killed = self._killed or not self.is_listening
         super().terminate()
 
--- a/bench/mesh_records.py
+++ b/bench/mesh_records.py
@@ -102,6 +102,14 @@
     end_s: float
 
 
+class Stop(NamedTuple):
+    """First SIGTERM to a daemon process."""
+
+    host: str
+    lifetime: int
+    at_s: float
+
+
 class Leaving(NamedTuple):
     """Acknowledgement that a server is leaving."""
 
@@ -117,7 +125,7 @@
         requests: Requests of clients.
         runs: Runs at backend servers.
         exits: Ended daemon processes.
-        stops: Times of SIGTERM by host.
+        stops: SIGTERM to daemon processes.
         faults: Unplanned faults.
         leavings: Acknowledgements of leaving servers.
     """
@@ -127,7 +135,7 @@
         self.requests: list[RequestRecord] = []
         self.runs: list[ServerRun] = []
         self.exits: list[ProcessExit] = []
-        self.stops: defaultdict[str, list[float]] = defaultdict(list)
+        self.stops: list[Stop] = []
         self.faults: list[Fault] = []
         self.leavings: list[Leaving] = []
 
