--- a/bench/mesh_clients.py
+++ b/bench/mesh_clients.py
@@ -96,8 +96,8 @@
 def create_download(maker: RequestMaker) -> list[ClientRequest]:
     """Read a large response slowly."""
     rng = maker.rng
-    work_ms, size = rng.randint(1, 500), rng.randint(30_000, 400_000)
-    read_s = rng.uniform(0.2, 1.8)
+    work_ms, size = rng.randint(1, 200), rng.randint(30_000, 400_000)
+    read_s = rng.uniform(0.5, 2.1)
     return [maker.create('safe', 'download', work_ms, size, read_s=read_s)]
 
 
--- a/bench/mesh_soak.py
+++ b/bench/mesh_soak.py
@@ -30,7 +30,7 @@
     read_known_red,
 )
 
-CLIENTS_BY_KIND: Final = {'downloader': 3, 'version': 1}
+CLIENTS_BY_KIND: Final = {'downloader': 4}
 DEFAULT_CLIENTS: Final = 1
 LOGS_PATH: Final = Path('target/soak')
 KNOWN_RED_PATH: Final = Path('KNOWN-RED.txt')
