Reject gossip and sync replies with values that cannot be used

What callers saw: a sync reply with an unknown field that is deeply nested raises RecursionError, which ends the loop of the syncs of an older daemon; a member with port 70000 or an incarnation of 64 bits is taken over, and the latter cannot be encoded after its refutation.

Change: datagrams and sync replies are decoded through decoding.py, and check_member checks the records. Sending to a port out of range counts as a failed datagram on each event loop.

All seven cases of test_odd_member_of_a_peer_is_rejected and test_nested_reply_of_a_peer_is_rejected failed before the change (accepted, or RecursionError).

--- a/bench/slopes_membership.py
+++ b/bench/slopes_membership.py
@@ -47,7 +47,7 @@
     encode_datagram,
     encoded_size,
 )
-from bergamotshunt.peers.member_sync import REPLY_DECODER
+from bergamotshunt.peers.member_sync import decode_reply
 from bergamotshunt.peers.members import (
     EraUpdate,
     Member,
@@ -391,7 +391,7 @@
     started_s = perf_counter()
     request = encode(create_sync_request(members))
     reply = encode(create_sync_reply(peer, REQUEST_DECODER.decode(request), 0))
-    apply_sync_reply(members, REPLY_DECODER.decode(reply), 0)
+    apply_sync_reply(members, decode_reply(reply), 0)
     exchange_s = perf_counter() - started_s
     started_s = perf_counter()
     dict(members.table.by_id)
@@ -419,7 +419,7 @@
         request: SyncRequest = REQUEST_DECODER.decode(body)
         response = encode(create_sync_reply(peer, request, 0))
         response_s += perf_counter() - response_started_s
-        reply = REPLY_DECODER.decode(response)
+        reply = decode_reply(response)
         apply_sync_reply(joining, reply, 0, is_joining=True)
         bucket = reply['next_bucket']
         total_bytes += len(body) + len(response)
--- a/bergamotshunt/peers/gossip_codec.py
+++ b/bergamotshunt/peers/gossip_codec.py
@@ -2,13 +2,18 @@
 
 from typing import Any, Final
 
-from msgspec import DecodeError
-from msgspec.msgpack import Decoder, Encoder
+from msgspec.msgpack import Encoder
 
+from bergamotshunt.decoding import (
+    MalformedInputError,
+    convert_malformed,
+    decode_msgpack,
+)
 from bergamotshunt.peers.datagrams import MAX_DATAGRAM_BYTES, Datagram
+from bergamotshunt.peers.members import check_member
+from bergamotshunt.value_checks import MAX_INTEGER, check_integer
 
 ENCODER: Final = Encoder()
-DECODER: Final = Decoder(Datagram)
 
 
 class OversizeError(ValueError):
@@ -35,11 +40,31 @@
     if len(content) > MAX_DATAGRAM_BYTES:
         return None
     try:
-        return DECODER.decode(content)
-    except (DecodeError, UnicodeDecodeError):
+        with convert_malformed('malformed gossip datagram'):
+            return _check_datagram(
+                decode_msgpack(content, 'datagram', Datagram)
+            )
+    except MalformedInputError:
         return None
 
 
+def _check_datagram(datagram: Datagram) -> Datagram:
+    check_integer('process', datagram.process_id)
+    check_integer('sequence', datagram.sequence)
+    check_integer('revision', datagram.revision)
+    check_integer('age', datagram.age_ms, -MAX_INTEGER)
+    for field in datagram.load or ():
+        check_integer('load', field)
+    for event in datagram.events:
+        check_integer('incarnation', event.incarnation)
+        if event.record is not None:
+            check_member(event.record)
+    for update in datagram.eras:
+        check_integer('process', update.process_id)
+        check_integer('era', update.era)
+    return datagram
+
+
 def encoded_size(update: Any) -> int:
     """Return the encoded size of one update in bytes."""
     return len(ENCODER.encode(update))
--- a/bergamotshunt/peers/members.py
+++ b/bergamotshunt/peers/members.py
@@ -3,6 +3,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from bergamotshunt.value_checks import MAX_PORT, check_integer, check_text
+
 
 class MemberStatus(IntEnum):
     """Status of a member; at equal incarnations the higher value wins."""
@@ -136,3 +138,18 @@
         member.status in {MemberStatus.ALIVE, MemberStatus.SUSPECT}
         and member.server_state is ServerState.SERVING
     )
+
+
+def check_member(member: Member) -> None:
+    """Check a record that a peer sent.
+
+    Raises:
+        ValueError: A value is not allowed.
+    """
+    check_integer('incarnation', member.incarnation)
+    check_text('ip', member.ip)
+    # A port is 0 until it is bound.
+    check_integer('peers port', member.peers_port, maximum=MAX_PORT)
+    check_integer('gossip port', member.gossip_port, maximum=MAX_PORT)
+    check_integer('process', member.process_id)
+    check_integer('era', member.era)
--- a/bergamotshunt/peers/udp.py
+++ b/bergamotshunt/peers/udp.py
@@ -68,7 +68,7 @@
         traffic = self.traffic
         try:
             self._transport.sendto(content, endpoint)
-        except (OSError, ValueError):
+        except (OSError, OverflowError, ValueError):
             # The address of the peer is unusable, for example with port 0.
             self.traffic = traffic._replace(failed=traffic.failed + 1)
             return
--- a/bergamotshunt/tests/test_gossip.py
+++ b/bergamotshunt/tests/test_gossip.py
@@ -7,6 +7,9 @@
 from random import Random
 from typing import Any
 
+import pytest
+from msgspec import json
+
 from bench.gossip_daemons import IP, GossipDaemon, wait_until
 from bergamotshunt.choice.calls import LoadReport
 from bergamotshunt.kernel import Mailbox
@@ -34,13 +37,16 @@
     encode_datagram,
     encoded_size,
 )
+from bergamotshunt.peers.member_sync import read_reply
 from bergamotshunt.peers.members import (
     EraUpdate,
     Member,
+    MemberEvent,
     MemberStatus,
     ServerState,
     create_event,
 )
+from bergamotshunt.peers.sync_documents import SyncReply
 from bergamotshunt.settings import MembershipSettings
 
 SHORT_INTERVALS = MembershipSettings(
@@ -337,3 +343,49 @@
     retries = [sync_client.pause_s(attempt, 120, rng) for attempt in (1, 3, 20)]
     assert retries[0] <= 2
     assert 15 <= retries[2] <= 30
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'gossip_port': 70_000},
+        {'peers_port': -1},
+        {'incarnation': 2**64 - 1},
+        {'process_id': 2**64 - 1},
+        {'era': -1},
+        {'ip': ''},
+    ],
+)
+def test_odd_member_of_a_peer_is_rejected(change: dict[str, object]) -> None:
+    """Guards against members that cannot be reached or gossiped again."""
+    good = Member('d1', 5, '10.0.0.1', 80, 81, 'r', 'z', 's')
+    assert decode_datagram(datagram_about(good)) is not None
+    assert read_reply(reply_about(good), 'peer') is not None
+    odd = good._replace(**change)  # type: ignore[arg-type]
+    assert decode_datagram(datagram_about(odd)) is None
+    assert read_reply(reply_about(odd), 'peer') is None
+
+
+def datagram_about(member: Member) -> bytes:
+    event = MemberEvent('d1', 5, MemberStatus.ALIVE, record=member)
+    return encode_datagram(
+        Datagram(DatagramKind.NEWS, 'd1', 1, events=(event,))
+    )
+
+
+def reply_about(member: Member) -> bytes:
+    reply = SyncReply(
+        responder='d1',
+        about_sender=None,
+        members=[member],
+        wanted=[],
+        next_bucket=256,
+    )
+    return json.encode(reply)
+
+
+def test_nested_reply_of_a_peer_is_rejected() -> None:
+    """Guards against RecursionError, which ended the loop of the syncs."""
+    content = b'{"unknown":' + b'[' * 100_000
+    assert read_reply(content, 'peer') is None
+    assert decode_datagram(b'\x91' * 1200) is None
--- a/bergamotshunt/value_checks.py
+++ b/bergamotshunt/value_checks.py
@@ -11,8 +11,8 @@
 
 MAX_PORT: Final = 65_535
 MAX_SLOTS: Final = 65_536
-# All JSON decoders read integers up to this one exactly.
-MAX_INTEGER: Final = 2**53 - 1
+# Decoders that use floating-point numbers are exact up to this integer.
+MAX_INTEGER: Final = 2**53
 # About 116 days; timers and sums of such times cannot overflow.
 MAX_DURATION_MS: Final = 1e10
 # Slowdown factor of work on a server.
