Report ports out of range in the settings file

What callers saw: port 0 or 70000 in the settings file fails only when it is bound or connected to, with OverflowError in place of exit code 2; a bound of 'nan', 'inf', -1 or 1e300 becomes the time of the drain or a budget.

Change: addresses and the port range need a port from 1 to 65535; a bound that is not a usable number has its default, as other text has.

--- a/bergamotshunt/platform/boot.py
+++ b/bergamotshunt/platform/boot.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from bergamotshunt.mesh_settings import Address, Bounds, MeshSettings
+from bergamotshunt.value_checks import MAX_PORT, check_number
 
 # Environment variable with the path of the settings file.
 FILE_VARIABLE: Final = 'BERGAMOTSHUNT_BOOT'
@@ -46,7 +47,7 @@
         """Return an IP address and a port."""
         text = self.value_by_name.get(name, '')
         ip, _, port = text.rpartition(':')
-        if ip and port.isdecimal():
+        if ip and is_port(port):
             return Address(ip, int(port))
         self.errors.append(
             f'{name} = {text!r}: expected IP:PORT',
@@ -56,12 +57,18 @@
     def first_port(self, name: str) -> int:
         """Return the first port of a port range."""
         text = self.text(name).partition(',')[0]
-        if text.isdecimal():
+        if is_port(text):
             return int(text)
         self.errors.append(f'{name} = {text!r}: expected FIRST_PORT,LAST_PORT')
         return 0
 
 
+def is_port(text: str) -> bool:
+    """Return whether a text is the number of a port."""
+    is_short = len(text) <= len(str(MAX_PORT))
+    return is_short and text.isdecimal() and 1 <= int(text) <= MAX_PORT
+
+
 def decode_settings(text: str) -> Result[MeshSettings, tuple[str, ...]]:
     """Decode the settings file.
 
@@ -127,6 +134,6 @@
 ) -> float:
     """Return a number, or the default if it is missing or malformed."""
     try:
-        return float(value_by_name[name])
+        return check_number(name, float(value_by_name[name]))
     except (KeyError, ValueError):
         return default
--- a/bergamotshunt/tests/test_mesh_documents.py
+++ b/bergamotshunt/tests/test_mesh_documents.py
@@ -25,7 +25,7 @@
     phase_start_delay_ms,
 )
 from bergamotshunt.http.heads import ResponseHead
-from bergamotshunt.mesh_settings import Address, MeshSettings
+from bergamotshunt.mesh_settings import Address, Bounds, MeshSettings
 from bergamotshunt.peers.peer_calls import decode_call, decode_result
 from bergamotshunt.platform.announcements import (
     AnnouncementError,
@@ -109,6 +109,30 @@
     raise AssertionError('the invalid settings file was accepted')
 
 
+@pytest.mark.parametrize('port', ['0', '70000', '9' * 5000, '-1', 'x', ''])
+def test_port_out_of_range_is_reported(port: str) -> None:
+    """Guards against a port that fails only when it is bound or used."""
+    for name, setting in (
+        ('app_addr', f'10.1.0.35:{port}'),
+        ('port_range', f'{port},7675'),
+    ):
+        match decode_settings(f'{SETTINGS_TEXT}\n{name}={setting}\n'):
+            case Failure((error, *_)):
+                assert error.startswith(name)
+            case Success(_):
+                raise AssertionError(f'{name}={setting} was accepted')
+
+
+@pytest.mark.parametrize('number', ['nan', 'inf', '-1', '1e300'])
+def test_odd_bound_has_its_default(number: str) -> None:
+    """Guards against a drain that lasts for ever or for no time."""
+    match decode_settings(f'{SETTINGS_TEXT}\nbounds=grace_s={number}\n'):
+        case Success(decoded):
+            assert decoded.bounds.grace_s == Bounds().grace_s
+            return
+    raise AssertionError('the settings file was rejected')
+
+
 def test_configuration_is_decoded() -> None:
     """Guards against wrong kinds, traffic splits and prefix order.
 
