--- a/bergamotshunt/tests/mesh.py
+++ b/bergamotshunt/tests/mesh.py
@@ -12,6 +12,7 @@
 
 from bergamotshunt.http.client_pool import ClientPool
 from bergamotshunt.http.heads import Header, encode_request_head
+from bergamotshunt.http.server_connection import ServerConnection
 from bergamotshunt.kernel import Kernel
 from bergamotshunt.mesh_daemon import create_mesh_kernel
 from bergamotshunt.mesh_settings import Address, Bounds, MeshSettings
@@ -174,6 +175,9 @@
         )
         inbound._publish_load()
 
+    def inbound_connections(self, number: int) -> set[ServerConnection]:
+        return self._inbound(number)._listener.connections
+
     def waiting(self, number: int) -> int:
         return self._inbound(number)._server.load().waiting
 
