Read on after a request whose body nobody has read

Cause: a body of over 64 KiB that has arrived whole pauses reading. When the handler responds without reading it, the response was complete and the body too, so it was not discarded, and the pause stayed for ever.

Change: the body of a request is discarded with its response, complete or not.

Result: test_request_behind_an_unread_body_is_read failed before (one response of two, the connection ended by its idle timeout) and passes with asyncio and uvloop.

--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -296,10 +296,10 @@
             self.transmit(chunk)
         if not exchange.finished:
             return False
+        # Nobody reads the rest of the body: it must not keep reading paused.
+        exchange.body.discard()
         if not exchange.body.complete:
-            # The response was sent before the request body had arrived; the
-            # client is still sending it.
-            exchange.body.discard()
+            # The client is still sending it.
             if not (exchange.closing or self._listener.closing_idle):
                 return False
             exchange.closing = True
--- a/bergamotshunt/tests/test_mesh_downloads.py
+++ b/bergamotshunt/tests/test_mesh_downloads.py
@@ -8,6 +8,7 @@
 from bergamotshunt.http.bodies import IncompleteBodyError
 from bergamotshunt.http.client_connection import ResponseLostError
 from bergamotshunt.http.client_pool import ClientPool
+from bergamotshunt.http.connection_ends import CloseReason
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.heads import encode_request_head
 from bergamotshunt.ingress.request_forwarder import RequestForwarder
@@ -138,7 +139,7 @@
                     await mesh.hosts[1].kernel.stop()
                     return
                 for connection in tuple(mesh.inbound_connections(1)):
-                    connection.abort()
+                    connection.abort(CloseReason.CONNECTION_FAILED)
 
             with pytest.raises((IncompleteBodyError, ResponseLostError)):
                 await read_slowly(mesh, end_daemon)
--- a/bergamotshunt/tests/test_mesh_http.py
+++ b/bergamotshunt/tests/test_mesh_http.py
@@ -10,6 +10,7 @@
 
 from bergamotshunt.daemon import create_runner
 from bergamotshunt.http.bodies import Body
+from bergamotshunt.http.bodies import HIGH_WATER_BYTES
 from bergamotshunt.http.client_connection import ClientConnection, Response
 from bergamotshunt.http.client_pool import ClientPool
 from bergamotshunt.http.exchanges import Exchange
@@ -171,6 +172,40 @@
     assert response.count(b'HTTP/1.1 200') == 2
 
 
+def test_request_behind_an_unread_body_is_read() -> None:
+    """Guards against a connection that stays paused after a refusal.
+
+    The whole body arrived and paused the connection, but the handler responds
+    without reading it.
+    """
+
+    async def refuse(exchange: Exchange) -> None:
+        exchange.respond(404, [])
+
+    body = bytes(HIGH_WATER_BYTES + 1)
+    first = b'POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n'
+    second = b'GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+
+    async def run_scenario() -> bytes:
+        listener = Listener(refuse)
+        port = await listener.open('127.0.0.1', 0)
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(first % len(body) + body)
+        responses = await reader.readuntil(b'\r\n\r\n')
+        writer.write(second)
+        try:
+            async with asyncio.timeout(20):
+                return responses + await reader.read(-1)
+        finally:
+            writer.close()
+            await listener.close()
+
+    for runner_factory in (asyncio.Runner, create_runner):
+        with runner_factory() as runner:
+            responses = runner.run(run_scenario())
+        assert responses.count(b'HTTP/1.1 404') == 2
+
+
 async def echo(exchange: Exchange) -> None:
     body = await exchange.body.read_up_to(1 << 20)
     exchange.respond(200, [(b'Seen', exchange.head.target)], body)
