--- a/bergamotshunt/tests/test_mesh_shutdown.py
+++ b/bergamotshunt/tests/test_mesh_shutdown.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bergamotshunt import mesh_daemon
 from bergamotshunt.daemon import create_runner
 from bergamotshunt.decisions import connection_closing
 from bergamotshunt.http.connection_ends import CloseReason, ConnectionEnd
@@ -28,10 +29,12 @@
     SlowClient,
     shrink_send_buffers,
 )
+from bergamotshunt.tests.test_mesh_explain import captured_lines
 from bergamotshunt.verdicts import Verdict
 from standins.mesh_server import MeshServer
 
 DRAIN_TIMEOUT_S = 20.0
+SHORT_DRAIN_S = 0.6
 RUNNERS = (asyncio.Runner, create_runner)
 REQUEST = b'GET /a HTTP/1.1\r\nHost: x\r\n\r\n'
 
@@ -461,3 +464,35 @@
     with runner_factory() as runner:
         response = runner.run(run_scenario())
     assert content_of(response) == LARGE_CONTENT
+
+
+@pytest.mark.usefixtures('short_notice')
+def test_log_states_what_a_stopping_daemon_has_not_sent() -> None:
+    """Guards against a cut response that the log does not explain."""
+
+    async def run_scenario() -> None:
+        async with Mesh([respond_large]) as mesh:
+            kernel = mesh.hosts[0].kernel
+            task = listening_task(mesh, 'outbound')
+            address = task._address
+            async with SlowClient(address.ip, address.port) as client:
+                await mesh.wait_until(lambda: bool(task._listener.connections))
+                shrink_send_buffers(task._listener)
+                await client.send(client_request())
+                await mesh.wait_until(lambda: bool(mesh.runs()))
+                assert not await kernel.drain(SHORT_DRAIN_S)
+                await mesh_daemon._log_drained(kernel, is_drained=False)
+                await kernel.stop()
+                await client.read_until_closed()
+
+    with captured_lines() as lines, create_runner() as runner:
+        runner.run(run_scenario())
+    (drained,) = [line for line in lines if line.event == 'daemon:drained']
+    assert drained.fields['unsent_bytes'] > 0
+    (end,) = [
+        line for line in lines if line.event == 'connection:ended-incomplete'
+    ]
+    assert end.fields['task'] == 'outbound'
+    assert end.fields['reason'] == 'shutdown'
+    assert end.fields['request_id'] == 'r1'
+    assert end.fields['unsent_bytes'] > 0
