Shorten the checks of load reports and headers

Change: numbers are compared with finite bounds once, which NaN never passes, and the decoding functions need no context manager of their own.

--- a/bergamotshunt/decoding.py
+++ b/bergamotshunt/decoding.py
@@ -71,8 +71,10 @@
     Raises:
         MalformedInputError: The content is not JSON of this type.
     """
-    with convert_malformed(subject):
+    try:
         return json_codec.decode(content, type=document_type)
+    except DECODING_ERRORS as error:
+        raise _create_error(subject, error) from error
 
 
 def decode_msgpack(
@@ -85,8 +87,10 @@
     Raises:
         MalformedInputError: The content is not MessagePack of this type.
     """
-    with convert_malformed(subject):
+    try:
         return msgpack_codec.decode(content, type=document_type)
+    except DECODING_ERRORS as error:
+        raise _create_error(subject, error) from error
 
 
 def decode_base64(text: str, subject: str) -> bytes:
@@ -95,5 +99,11 @@
     Raises:
         MalformedInputError: The text is not base64.
     """
-    with convert_malformed(subject):
+    try:
         return b64decode(text, validate=True)
+    except DECODING_ERRORS as error:
+        raise _create_error(subject, error) from error
+
+
+def _create_error(subject: str, error: Exception) -> MalformedInputError:
+    return MalformedInputError(f'{subject}: {describe_error(error)}')
--- a/bergamotshunt/value_checks.py
+++ b/bergamotshunt/value_checks.py
@@ -5,10 +5,10 @@
 """
 
 from ipaddress import IPv4Address
-from math import isfinite
 from reprlib import repr as short_repr
 from typing import Any, Final
 
+NUMBER_TYPES: Final = (float, int)
 MAX_PORT: Final = 65_535
 MAX_SLOTS: Final = 65_536
 # Decoders that use floating-point numbers are exact up to this integer.
@@ -47,17 +47,17 @@
     minimum: float = 0,
     maximum: float = MAX_DURATION_MS,
 ) -> float:
-    """Check a finite number between two bounds, both included.
+    """Check a number between two finite bounds, both included.
 
     Raises:
-        ValueError: It is no number, not finite, or out of range.
+        ValueError: It is no number, or out of range.
     """
-    is_number = isinstance(number, int | float) and not isinstance(number, bool)
-    # The comparison comes first: an integer may be too large for a float.
+    is_number = isinstance(number, NUMBER_TYPES)
+    # Each comparison with NaN is false.
     if (
         not is_number
+        or isinstance(number, bool)
         or not minimum <= number <= maximum
-        or not isfinite(number)
     ):
         raise ValueError(
             f'{name} = {short_repr(number)}: '
