--- a/bergamotshunt/tests/test_mesh_boundary.py
+++ b/bergamotshunt/tests/test_mesh_boundary.py
@@ -1,5 +1,6 @@
 """Tests that only the platform adapter uses names of the platform."""
 
+import re
 from pathlib import Path
 
 import bergamotshunt
@@ -48,3 +49,21 @@
     # The adapter does not use "heartbeat_addr", but no other part may either.
     missing = [name for name in NAMES if name not in source]
     assert missing in ([], ['heartbeat_addr'])
+
+
+def test_input_of_other_writers_is_decoded_in_one_place() -> None:
+    """Guards against a decoder with a list of expected errors of its own.
+
+    Such lists lacked RecursionError, which ended the tasks that read.
+    """
+    folders = ('platform', 'peers', 'plugins/mesh')
+    paths = [path for name in folders for path in (ROOT / name).glob('*.py')]
+    paths.append(ROOT / 'backend' / 'loads.py')
+    imports = re.compile(r'from msgspec.* import .*([Dd]ecode|Error)')
+    found = [
+        str(path.relative_to(ROOT))
+        for path in paths
+        if imports.search(path.read_text(encoding='utf-8'))
+    ]
+    assert len(paths) > 20
+    assert found == []
