Close a connection after the response to HEAD

The parser does not know the method of the request, so after the head of a response to HEAD with a length it expects the body. The next response on that kept connection was read as this body: its request failed, or waited until its deadline. It applied to the server and between daemons.

A connection that has sent HEAD is not used again.

Before: test_connection_ends_after_a_response_to_head failed. After: test_mesh_http passes.

--- a/bergamotshunt/http/client_connection.py
+++ b/bergamotshunt/http/client_connection.py
@@ -187,7 +187,10 @@
             self.skipped_responses += 1
             return
         self._skipping_response = False
-        self._keep_alive = self._parser.should_keep_alive()
+        # The parser expects a body also after the head for a HEAD request.
+        self._keep_alive = (
+            self._parser.should_keep_alive() and not self._is_head_request
+        )
         self._update_idle_limit(head)
         body = Body(self._set_reading)
         self._body = body
--- a/bergamotshunt/tests/test_mesh_http.py
+++ b/bergamotshunt/tests/test_mesh_http.py
@@ -129,6 +129,32 @@
     asyncio.run(run_scenario())
 
 
+def test_connection_ends_after_a_response_to_head() -> None:
+    """Guards against the next response that is read as the body of one.
+
+    The response to HEAD states a length, but has no body.
+    """
+
+    async def serve(exchange: Exchange) -> None:
+        exchange.respond(200, [], b'hello')
+
+    async def run_scenario() -> None:
+        listener = Listener(serve)
+        pool = ClientPool('127.0.0.1', await listener.open('127.0.0.1', 0))
+        connection = await pool.acquire()
+        response = await connection.send_request(
+            REQUEST.replace(b'GET', b'HEAD'), whole=True, bodyless=True
+        )
+        assert await response.body.read() == b''
+        pool.release(connection)
+        async with asyncio.timeout(10):
+            assert (await pool.fetch(REQUEST, 100)).content == b'hello'
+        pool.close()
+        await listener.close()
+
+    asyncio.run(run_scenario())
+
+
 async def exchange_bytes(listener: Listener, content: bytes) -> bytes:
     port = await listener.open('127.0.0.1', 0)
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
