Let a long request body wait for its reader

A request with a body of 128 KiB or more failed 1.8 s after its server or the daemon beside it stopped reading, although the server was sound: 'the connection to the server ended: Connection timed out'. The kernel applies TCP_USER_TIMEOUT (1.5 s, for peers that vanish) also to bytes for which the peer's receive buffer is full, even while the peer answers its probes. A server may read a long body late, and a daemon reads no further than 64 KiB while a request waits for its slot.

While a body is streamed, which are the bodies over 64 KiB, the connection has the system's default instead; the deadline of the request ends it. The short timeout is set again for the next request.

--- a/bergamotshunt/http/client_connection.py
+++ b/bergamotshunt/http/client_connection.py
@@ -22,6 +22,7 @@
     UNACKNOWLEDGED_TIMEOUT_MS,
     has_socket_error,
     set_socket_options,
+    set_unacknowledged_timeout,
 )
 
 # Servers may close an idle connection earlier than their Keep-Alive header
@@ -94,6 +95,7 @@
         self._until_close = False
         self._is_head_request = False
         self._request_complete = True
+        self._has_short_timeout = True
         self._out_of_sync = False
         self._keep_alive = True
 
@@ -266,6 +268,7 @@
             raise NotSentError(
                 'the connection was closed before the request was sent'
             )
+        self._set_short_timeout(self._transport, short=whole)
         self._is_expected = is_expected
         self._request_complete = whole
         self._is_head_request = bodyless
@@ -295,6 +298,19 @@
 
     # Internals
 
+    def _set_short_timeout(self, transport: Transport, *, short: bool) -> None:
+        """Set whether a peer that acknowledges no bytes ends the connection.
+
+        The kernel counts bytes for a full receive buffer as unacknowledged.
+        A long request body may wait for its reader, up to the deadline of
+        the request.
+        """
+        if short != self._has_short_timeout:
+            self._has_short_timeout = short
+            set_unacknowledged_timeout(
+                transport, UNACKNOWLEDGED_TIMEOUT_MS if short else 0
+            )
+
     def _check_limits(self, received_bytes: int) -> None:
         """Fail a response that has too many bytes besides its body."""
         if self._response_waiter is not None:
--- a/bergamotshunt/http/sockets.py
+++ b/bergamotshunt/http/sockets.py
@@ -50,3 +50,18 @@
     """
     tcp = transport.get_extra_info('socket')
     return tcp is not None and bool(tcp.getsockopt(SOL_SOCKET, SO_ERROR))
+
+
+def set_unacknowledged_timeout(
+    transport: BaseTransport, unacknowledged_ms: int
+) -> None:
+    """Change how long written bytes may be unacknowledged.
+
+    Args:
+        transport: Transport of a TCP connection.
+        unacknowledged_ms: Time in milliseconds; 0 restores the system's
+            default.
+    """
+    tcp = transport.get_extra_info('socket')
+    if tcp is not None:
+        tcp.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms)
--- a/bergamotshunt/tests/test_mesh_downloads.py
+++ b/bergamotshunt/tests/test_mesh_downloads.py
@@ -10,11 +10,14 @@
 from bergamotshunt.http.client_pool import ClientPool
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.heads import encode_request_head
+from bergamotshunt.http.sockets import UNACKNOWLEDGED_TIMEOUT_MS
 from bergamotshunt.ingress.request_forwarder import RequestForwarder
 from bergamotshunt.platform.names import REQUEST_ID, TIMEOUT_MS
+from bergamotshunt.tests.faulty_server import FaultyServer, Turn, answer
 from bergamotshunt.tests.mesh import HOST, Mesh
 from standins.mesh_server import Behaviour, MeshServer
 
+MS_PER_S = 1000
 PIECE = bytes(range(256)) * 64
 PIECE_COUNT = 256
 CONTENT = PIECE * PIECE_COUNT
@@ -144,3 +147,32 @@
                 await read_slowly(mesh, end_daemon)
 
     asyncio.run(run_scenario())
+
+
+def test_long_body_waits_for_its_reader() -> None:
+    """Guards against losing a request whose body the server reads late.
+
+    The kernel counts bytes that a full receive buffer holds back as
+    unacknowledged; the timeout for a vanished peer must not apply to them.
+    """
+
+    async def read_late(turn: Turn) -> None:
+        await asyncio.sleep(2 * UNACKNOWLEDGED_TIMEOUT_MS / MS_PER_S)
+        assert await turn.reader.readexactly(turn.length) == CONTENT
+        await turn.write(answer(b'r1'))
+
+    async def run_scenario() -> None:
+        headers = [(b'Host', HOST), (REQUEST_ID, b'r1')]
+        head = encode_request_head(b'POST', b'/', headers, len(CONTENT))
+        async with FaultyServer(read_late) as server:
+            connection = await server.client.connect()
+            pending_response = connection.send_request(head, whole=False)
+            for _ in range(PIECE_COUNT):
+                await connection.write(PIECE, chunked=False)
+            await connection.write(b'', chunked=False)
+            response = await pending_response
+            assert await response.body.read_up_to(10) == b'ok'
+            assert connection.reusable
+            connection.close()
+
+    asyncio.run(run_scenario())
