Leave odd records of members out of gossip and table syncs

What operators saw: one datagram with a member at port 70000 or -1, or with a zero byte in its address, ended the gossip of a daemon: asyncio closes the UDP socket on the OverflowError of sendto (uvloop sends to the port modulo 65536). An event with the incarnation 2**64-1 about a daemon made it unable to encode its own record: each later datagram and even its close failed. A sync reply nested 100,000 deep ended the loop of table syncs for good.

Cause: decoders checked types only, and RecursionError was no expected error.

Change: member_checks.py checks ids, addresses, ports and the range of numbers; gossip_codec.py and sync_documents.py decode with decoding.py and leave odd updates out, so that the others of the same message are used.

The cost of the checks was not measured.

--- a/bench/slopes_membership.py
+++ b/bench/slopes_membership.py
@@ -47,16 +47,18 @@
     encode_datagram,
     encoded_size,
 )
-from bergamotshunt.peers.member_sync import REPLY_DECODER
 from bergamotshunt.peers.members import (
     EraUpdate,
     Member,
     MemberEvent,
     ServerState,
 )
-from bergamotshunt.peers.sync_documents import SyncRequest
+from bergamotshunt.peers.sync_documents import (
+    SyncRequest,
+    decode_sync_reply,
+    decode_sync_request,
+)
 from bergamotshunt.peers.udp import UdpPort
-from bergamotshunt.plugins.gossip_handlers import REQUEST_DECODER
 from bergamotshunt.settings import MembershipSettings
 
 DESIGN_SIZE = 7200
@@ -390,8 +392,8 @@
     peer = create_membership(own, decoder.decode(body))
     started_s = perf_counter()
     request = encode(create_sync_request(members))
-    reply = encode(create_sync_reply(peer, REQUEST_DECODER.decode(request), 0))
-    apply_sync_reply(members, REPLY_DECODER.decode(reply), 0)
+    reply = encode(create_sync_reply(peer, decode_sync_request(request), 0))
+    apply_sync_reply(members, decode_sync_reply(reply), 0)
     exchange_s = perf_counter() - started_s
     started_s = perf_counter()
     dict(members.table.by_id)
@@ -416,10 +418,10 @@
     while bucket < len(joining.table.digests):
         body = encode(create_sync_request(joining, bucket))
         response_started_s = perf_counter()
-        request: SyncRequest = REQUEST_DECODER.decode(body)
+        request: SyncRequest = decode_sync_request(body)
         response = encode(create_sync_reply(peer, request, 0))
         response_s += perf_counter() - response_started_s
-        reply = REPLY_DECODER.decode(response)
+        reply = decode_sync_reply(response)
         apply_sync_reply(joining, reply, 0, is_joining=True)
         bucket = reply['next_bucket']
         total_bytes += len(body) + len(response)
--- a/bergamotshunt/peers/gossip_codec.py
+++ b/bergamotshunt/peers/gossip_codec.py
@@ -2,10 +2,16 @@
 
 from typing import Any, Final
 
-from msgspec import DecodeError
 from msgspec.msgpack import Decoder, Encoder
 
+from bergamotshunt.decoding import MalformedInputError, convert_malformed
 from bergamotshunt.peers.datagrams import MAX_DATAGRAM_BYTES, Datagram
+from bergamotshunt.peers.member_checks import (
+    MAX_NUMBER,
+    is_usable_era,
+    is_usable_event,
+)
+from bergamotshunt.value_checks import check_integer
 
 ENCODER: Final = Encoder()
 DECODER: Final = Decoder(Datagram)
@@ -31,13 +37,40 @@
 
 
 def decode_datagram(content: bytes) -> Datagram | None:
-    """Decode a datagram; return None when it is malformed."""
+    """Decode a datagram; return None when it is malformed.
+
+    Updates with values that cannot be used are left out.
+    """
     if len(content) > MAX_DATAGRAM_BYTES:
         return None
     try:
-        return DECODER.decode(content)
-    except (DecodeError, UnicodeDecodeError):
+        datagram = parse_datagram(content)
+    except MalformedInputError:
         return None
+    return datagram._replace(
+        events=tuple(filter(is_usable_event, datagram.events)),
+        eras=tuple(filter(is_usable_era, datagram.eras)),
+    )
+
+
+def parse_datagram(content: bytes) -> Datagram:
+    """Decode a datagram and check its numbers, but not its updates.
+
+    Raises:
+        MalformedInputError: The content is no datagram.
+    """
+    with convert_malformed('datagram'):
+        datagram = DECODER.decode(content)
+        numbers = (
+            datagram.process_id,
+            datagram.sequence,
+            datagram.revision,
+            datagram.age_ms,
+            *(datagram.load or ()),
+        )
+        for number in numbers:
+            check_integer('number', number, 0, MAX_NUMBER)
+    return datagram
 
 
 def encoded_size(update: Any) -> int:
--- a/bergamotshunt/peers/member_sync.py
+++ b/bergamotshunt/peers/member_sync.py
@@ -4,8 +4,7 @@
 from random import Random
 from typing import Final
 
-from msgspec import DecodeError
-from msgspec.json import Decoder, encode
+from msgspec.json import encode
 from returns.result import Failure, Success
 
 from bergamotshunt.decisions.member_table import BUCKET_COUNT
@@ -15,10 +14,15 @@
     apply_sync_reply,
     create_sync_request,
 )
+from bergamotshunt.decoding import MalformedInputError
 from bergamotshunt.http.transport import HttpClient, HttpRequest
 from bergamotshunt.log import log_event
 from bergamotshunt.peers.members import Member
-from bergamotshunt.peers.sync_documents import SyncReply, SyncRequest
+from bergamotshunt.peers.sync_documents import (
+    SyncReply,
+    SyncRequest,
+    decode_sync_reply,
+)
 
 SYNC_PATH: Final = '/bergamotshunt/sync'
 CONNECTIONS_PER_PEER: Final = 2
@@ -34,7 +38,6 @@
 FIRST_SYNC_PAUSE_S: Final = 4
 # Bounds the exponent, because the number of syncs grows without limit.
 MAX_DOUBLINGS: Final = 16
-REPLY_DECODER: Final = Decoder(SyncReply)
 
 
 class SyncClient:
@@ -167,7 +170,7 @@
 def read_reply(body: bytes, peer: str) -> SyncReply | None:
     """Decode a reply; log it and return None when it is malformed."""
     try:
-        return REPLY_DECODER.decode(body)
-    except DecodeError as error:
+        return decode_sync_reply(body)
+    except MalformedInputError as error:
         log_event('gossip:sync-malformed', peer=peer, detail=str(error))
         return None
--- a/bergamotshunt/peers/sync_documents.py
+++ b/bergamotshunt/peers/sync_documents.py
@@ -2,6 +2,12 @@
 
 from typing import TypedDict
 
+from bergamotshunt.decoding import convert_malformed, decode_json
+from bergamotshunt.peers.member_checks import (
+    check_record,
+    is_usable_record,
+    keep_usable,
+)
 from bergamotshunt.peers.members import Member
 
 
@@ -38,3 +44,32 @@
     members: list[Member]
     wanted: list[int]
     next_bucket: int
+
+
+def decode_sync_request(content: bytes) -> SyncRequest:
+    """Decode a request; records that cannot be used are left out.
+
+    Raises:
+        MalformedInputError: The content is no request, or the record of the
+            sender cannot be used.
+    """
+    subject = 'request of a table sync'
+    request: SyncRequest = decode_json(content, subject, SyncRequest)
+    with convert_malformed(subject):
+        check_record(request['sender'])
+    request['members'] = keep_usable(request['members'])
+    return request
+
+
+def decode_sync_reply(content: bytes) -> SyncReply:
+    """Decode a reply; records that cannot be used are left out.
+
+    Raises:
+        MalformedInputError: The content is no reply.
+    """
+    reply: SyncReply = decode_json(content, 'reply of a table sync', SyncReply)
+    about_sender = reply['about_sender']
+    if about_sender is not None and not is_usable_record(about_sender):
+        reply['about_sender'] = None
+    reply['members'] = keep_usable(reply['members'])
+    return reply
--- a/bergamotshunt/plugins/directory.py
+++ b/bergamotshunt/plugins/directory.py
@@ -5,9 +5,10 @@
 from contextlib import suppress
 from typing import Any, Final
 
-from msgspec.json import decode, encode
+from msgspec.json import encode
 
 from bergamotshunt.choice.service_index import ServiceIndex
+from bergamotshunt.decoding import decode_json
 from bergamotshunt.kernel import (
     PLUGINS,
     Context,
@@ -135,7 +136,7 @@
 @PEER_ENDPOINTS.register(DIRECTORY_PATH)
 async def serve_directory(bus: MessageBus, body: bytes) -> bytes:
     """Serve a client's request for the servers of a service."""
-    request = decode(body, type=DirectoryRequest)
+    request = decode_json(body, 'request for a directory', DirectoryRequest)
     return encode(
         await bus.ask(
             DescribeService(
--- a/bergamotshunt/plugins/gossip_handlers.py
+++ b/bergamotshunt/plugins/gossip_handlers.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from typing import Any, Final
 
-from msgspec.json import Decoder, encode
+from msgspec.json import encode
 
 from bergamotshunt.decisions.membership import era_stride
 from bergamotshunt.decisions.table_sync import create_sync_reply
@@ -20,10 +20,12 @@
 from bergamotshunt.peers.member_sync import SYNC_PATH
 from bergamotshunt.peers.members import Member, MemberStatus, ServerState
 from bergamotshunt.peers.peer_api import PEER_ENDPOINTS
-from bergamotshunt.peers.sync_documents import SyncReply, SyncRequest
+from bergamotshunt.peers.sync_documents import (
+    SyncReply,
+    decode_sync_request,
+)
 from bergamotshunt.plugins.gossip import HANDLERS, GossipTask
 
-REQUEST_DECODER: Final = Decoder(SyncRequest)
 # A status document of all 7,200 members would be about 2 MB.
 MAX_LISTED_MEMBERS: Final = 500
 # Seeds that the task syncs with at the same time.
@@ -138,5 +140,5 @@
 @PEER_ENDPOINTS.register(SYNC_PATH)
 async def serve_sync(bus: MessageBus, body: bytes) -> bytes:
     """Serve a peer's request to compare member tables."""
-    request = REQUEST_DECODER.decode(body)
+    request = decode_sync_request(body)
     return encode(await bus.ask(SyncMembers(request)))
