Keep the client library following the directory past an odd reply

What callers saw: after a reply of one daemon that is nested 100,000 deep, the client library never learned of changes of servers and targets again.

Cause: RecursionError was no expected error and ended the watch of the service.

Change: replies are decoded with decoding.py; members with addresses that cannot be used are left out.

Test: test_client_follows_the_directory_past_an_odd_reply failed before (TimeoutError after 30 s) and passes now.

--- a/bergamotshunt/choice/directory_watching.py
+++ b/bergamotshunt/choice/directory_watching.py
@@ -7,17 +7,18 @@
 from random import Random
 from typing import Final
 
-from msgspec import DecodeError
-from msgspec.json import decode, encode
+from msgspec.json import encode
 from returns.result import Success
 
 from bergamotshunt.choice.caller import Caller
+from bergamotshunt.decoding import MalformedInputError
 from bergamotshunt.http.transport import HttpClient, HttpRequest
 from bergamotshunt.operators.targets import ServiceTargets
 from bergamotshunt.peers.directory_documents import (
     DIRECTORY_PATH,
     DirectoryReply,
     DirectoryRequest,
+    decode_directory_reply,
 )
 from bergamotshunt.peers.members import Member, is_live
 
@@ -159,8 +160,8 @@
         if not isinstance(outcome, Success):
             return None
         try:
-            return decode(outcome.unwrap().body, type=DirectoryReply)
-        except DecodeError:
+            return decode_directory_reply(outcome.unwrap().body)
+        except MalformedInputError:
             return None
 
     def _list_peers(self, service: str) -> list[str]:
--- a/bergamotshunt/peers/directory_documents.py
+++ b/bergamotshunt/peers/directory_documents.py
@@ -2,7 +2,9 @@
 
 from typing import Final, TypedDict
 
+from bergamotshunt.decoding import decode_json
 from bergamotshunt.operators.targets import ServiceTargets
+from bergamotshunt.peers.member_checks import keep_usable
 from bergamotshunt.peers.members import Member
 
 DIRECTORY_PATH: Final = '/bergamotshunt/directory'
@@ -40,3 +42,16 @@
     revision: int
     targets: ServiceTargets | None
     members: list[Member]
+
+
+def decode_directory_reply(content: bytes) -> DirectoryReply:
+    """Decode a reply; records that cannot be used are left out.
+
+    Raises:
+        MalformedInputError: The content is no reply.
+    """
+    reply: DirectoryReply = decode_json(
+        content, 'reply of a directory', DirectoryReply
+    )
+    reply['members'] = keep_usable(reply['members'])
+    return reply
--- a/bergamotshunt/tests/test_client.py
+++ b/bergamotshunt/tests/test_client.py
@@ -203,3 +203,30 @@
             assert set(harness.stand_in.executions_by_key.values()) == {1}
 
     run(scenario())
+
+
+def test_client_follows_the_directory_past_an_odd_reply() -> None:
+    """Guards against a client that never learns of changes again.
+
+    The first reply is nested too deeply to be decoded.
+    """
+
+    async def scenario() -> None:
+        odd = b'{"x": ' + b'[' * 100_000
+        odd_daemon = await Peer('d0', reply(odd)).open()
+        async with DaemonHarness() as harness:
+            peers = (
+                f'127.0.0.1:{odd_daemon.port}',
+                f'127.0.0.1:{harness.peers_port}',
+            )
+            async with Client(peers, seed=1) as client:
+                watcher = client.directory_watcher
+                await watcher.get(SERVICE, 20_000)
+                await odd_daemon.got_request.wait()
+                outcome = await client.call(BALANCE)
+                while not isinstance(outcome, Success):
+                    outcome = await client.call(BALANCE)
+                assert not any(poll.done() for poll in watcher._polls)
+        await odd_daemon.close()
+
+    run(scenario())
