Return a failure for an odd response of the platform

What operators saw: a response of the platform that is nested 100,000 deep or holds an entry without a key raised its error in the task that asked for it, and ended the loop of that task (seed lists, reader, targets sync).

Cause: RecursionError, AttributeError and KeyError were in none of the lists of expected errors, and entries were decoded outside of any.

Keys and values must be valid base64.

--- a/bergamotshunt/plugins/store.py
+++ b/bergamotshunt/plugins/store.py
@@ -5,7 +5,8 @@
 """
 
 from asyncio import sleep, timeout
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
 
 from aiohttp import ClientError
 from returns.result import Failure, Result, Success
@@ -17,6 +18,7 @@
     record_failed_call,
     reserve_call,
 )
+from bergamotshunt.decoding import MalformedInputError, convert_malformed
 from bergamotshunt.kernel import PLUGINS, Context, HandlerTable, Task
 from bergamotshunt.messages import (
     DescribeTask,
@@ -45,6 +47,7 @@
 HANDLERS: Final = HandlerTable()
 MS_PER_S: Final = 1000
 
+Decoded = TypeVar('Decoded')
 WatchResult = Result[StoreEntry | None, StoreFailure]
 
 
@@ -153,21 +156,41 @@
             The entry; the oldest revision that can be watched when the
             store refused the watch because its history before that is
             compacted; or None when the watch ended.
+
+        Raises:
+            MalformedInputError: A message of the platform is malformed.
         """
         body = self.codec.encode_watch(message.key, after_revision)
         async for response in self.connection.watch(WATCH_PATH, body):
-            if response.get('created'):
-                self.record_success('watch')
-            if response.get('canceled'):
-                return compact_revision_of(response)
-            if response.get('events'):
-                return self.codec.decode_entry(response['events'][0]['kv'])
+            with convert_malformed('message of a watch'):
+                if response.get('created'):
+                    self.record_success('watch')
+                if response.get('canceled'):
+                    return compact_revision_of(response)
+                if response.get('events'):
+                    return self.codec.decode_entry(response['events'][0]['kv'])
         return None
 
 
-def failure_of(error: PlatformError) -> StoreFailure:
-    """Return the failure that a platform error carries."""
-    return error.failure
+def decode_response(
+    decode: Callable[[dict[str, Any]], Decoded],
+    outcome: CallResult,
+    may_have_run: bool,
+) -> Result[Decoded, StoreFailure]:
+    """Decode the response to a call; a malformed one is a failure.
+
+    Args:
+        decode: Decoder of the response.
+        outcome: Outcome of the call.
+        may_have_run: Whether the call may have changed stored data.
+    """
+    match outcome:
+        case Success(response):
+            try:
+                return Success(decode(response))
+            except MalformedInputError as error:
+                return Failure(StoreFailure(may_have_run, str(error)))
+    return Failure(outcome.failure().failure)
 
 
 def compact_revision_of(response: dict[str, Any]) -> int | None:
@@ -183,7 +206,9 @@
     """Read a key or all keys with a prefix."""
     body = task.codec.encode_get(message)
     outcome = await task.call('range', RANGE_PATH, body, writes=False)
-    return outcome.map(task.codec.decode_entries).alt(failure_of)
+    return decode_response(
+        task.codec.decode_entries, outcome, may_have_run=False
+    )
 
 
 @HANDLERS.on(StoreCommit)
@@ -194,7 +219,9 @@
     """Write all puts if all expected revisions hold."""
     body = task.codec.encode_commit(message)
     outcome = await task.call('txn', TXN_PATH, body, writes=True)
-    return outcome.map(task.codec.decode_committed).alt(failure_of)
+    return decode_response(
+        task.codec.decode_committed, outcome, may_have_run=True
+    )
 
 
 @HANDLERS.on(StoreWatch)
--- a/bergamotshunt/store/platform_connection.py
+++ b/bergamotshunt/store/platform_connection.py
@@ -14,9 +14,10 @@
     ConnectionTimeoutError,
     TCPConnector,
 )
-from msgspec.json import decode, encode
+from msgspec.json import encode
 from returns.result import Failure, Result, Success
 
+from bergamotshunt.decoding import convert_malformed, decode_json
 from bergamotshunt.messages import StoreFailure
 from bergamotshunt.settings import PlatformSettings
 from bergamotshunt.store.store_codec import read_revision
@@ -101,6 +102,7 @@
         Raises:
             aiohttp.ClientError: The connection failed or was lost.
             ConnectionError: The platform did not start the watch in time.
+            MalformedInputError: A message is no JSON object.
         """
         timeout_s = self._settings.timeout_ms / MS_PER_S
         try:
@@ -113,7 +115,10 @@
             ) from error
         try:
             async for line in response.content:
-                yield decode(line).get('result', {})
+                message = decode_json(
+                    line, 'message of a watch', dict[str, Any]
+                )
+                yield message.get('result', {})
         finally:
             response.close()
 
@@ -142,6 +147,7 @@
         try:
             async with timeout_at(deadline_s):
                 status, document = await self._exchange(path, body)
+            revision = read_revision(document)
         except NOT_SENT_ERRORS as error:
             return create_failure(str(error), may_have_run=False)
         except RESPONSE_LOST_ERRORS as error:
@@ -153,7 +159,6 @@
             )
         if status != HTTPStatus.OK:
             return read_refusal(status, document, writes)
-        revision = read_revision(document)
         self._newest_revision = max(self._newest_revision, revision)
         if not writes and 0 < revision < newest_before:
             # From a replica that lags behind; the data may be outdated.
@@ -185,10 +190,24 @@
         ) as response:
             content = await response.read()
             if response.status == HTTPStatus.OK or content.startswith(b'{'):
-                return response.status, decode(content, type=dict[str, Any])
+                return response.status, parse_response(content)
             return response.status, {}
 
 
+def parse_response(content: bytes) -> dict[str, Any]:
+    """Decode the document of a response.
+
+    Raises:
+        MalformedInputError: The content is no JSON object, or its error code
+            is no number.
+    """
+    subject = 'response of the platform'
+    document: dict[str, Any] = decode_json(content, subject, dict[str, Any])
+    with convert_malformed(subject):
+        document['code'] = int(document.get('code', 0))
+    return document
+
+
 def create_failure(detail: str, may_have_run: bool) -> CallResult:
     """Create the result of a call without a usable response."""
     return Failure(PlatformError(StoreFailure(may_have_run, detail)))
--- a/bergamotshunt/store/store_codec.py
+++ b/bergamotshunt/store/store_codec.py
@@ -1,8 +1,9 @@
 """Encoding of the store's protocol: the JSON gateway of etcd v3."""
 
-from base64 import b64decode, b64encode
+from base64 import b64encode
 from typing import Any, Final, NamedTuple, TypedDict
 
+from bergamotshunt.decoding import convert_malformed, decode_base64
 from bergamotshunt.messages import (
     StoreCommit,
     StoreCommitted,
@@ -35,8 +36,13 @@
 
 
 def read_revision(reply: dict[str, Any]) -> int:
-    """Return the store's revision from the header of a response."""
-    return int(reply.get('header', {}).get('revision', 0))
+    """Return the store's revision from the header of a response.
+
+    Raises:
+        MalformedInputError: The header is malformed.
+    """
+    with convert_malformed('header of a response'):
+        return int(reply.get('header', {}).get('revision', 0))
 
 
 class StoreCodec(NamedTuple):
@@ -119,20 +125,38 @@
         }
 
     def decode_entry(self, document: EntryDocument) -> StoreEntry:
-        """Decode one entry; a deleted one has an empty value."""
-        key = b64decode(document['key']).decode()
-        return StoreEntry(
-            key.removeprefix(self.prefix),
-            b64decode(document.get('value', '')),
-            int(document['mod_revision']),
-        )
+        """Decode one entry; a deleted one has an empty value.
+
+        Raises:
+            MalformedInputError: The document is no entry.
+        """
+        with convert_malformed('entry of the store'):
+            key = decode_base64(document['key'], 'key').decode()
+            return StoreEntry(
+                key.removeprefix(self.prefix),
+                decode_base64(document.get('value', ''), 'value'),
+                int(document['mod_revision']),
+            )
 
     def decode_entries(self, reply: dict[str, Any]) -> tuple[StoreEntry, ...]:
-        """Decode the entries of a range response."""
-        return tuple(map(self.decode_entry, reply.get('kvs', ())))
+        """Decode the entries of a range response.
+
+        Raises:
+            MalformedInputError: The response holds something else.
+        """
+        with convert_malformed('range of the store'):
+            return tuple(map(self.decode_entry, reply.get('kvs', ())))
 
     def decode_committed(self, reply: dict[str, Any]) -> StoreCommitted:
-        """Decode the response to a transaction."""
+        """Decode the response to a transaction.
+
+        Raises:
+            MalformedInputError: The response holds something else.
+        """
+        with convert_malformed('transaction of the store'):
+            return self._parse_committed(reply)
+
+    def _parse_committed(self, reply: dict[str, Any]) -> StoreCommitted:
         succeeded = bool(reply.get('succeeded', False))
         present: list[StoreEntry] = []
         if not succeeded:
--- a/bergamotshunt/tests/test_store.py
+++ b/bergamotshunt/tests/test_store.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 from uuid import UUID
 
+import pytest
 from returns.result import Success
 
 from bergamotshunt.decisions.booking_keys import (
@@ -23,6 +24,7 @@
     record_failed_call,
     reserve_call,
 )
+from bergamotshunt.http.web import HttpServer, send_whole
 from bergamotshunt.kernel import Context, Kernel, MessageBus
 from bergamotshunt.messages import (
     StoreCommit,
@@ -345,3 +347,41 @@
     for _ in range(40):
         circuit = record_failed_call(circuit, Random(3), now_ms=0)
     assert circuit.open_until_ms <= 5000
+
+
+ODD_RESPONSES = {
+    'nested': b'{"x": ' + b'[' * 100_000,
+    'no JSON': b'{\xff',
+    'no key': b'{"kvs": [{}]}',
+    'a list of entries': b'{"kvs": [[1]]}',
+    'no base64': b'{"kvs": [{"key": "!", "mod_revision": "1"}]}',
+    'no revision': b'{"header": {"revision": "x"}}',
+    'a list as header': b'{"header": [1]}',
+}
+
+
+@pytest.mark.parametrize(
+    'odd', ODD_RESPONSES.values(), ids=ODD_RESPONSES.keys()
+)
+def test_odd_response_of_the_platform_is_a_failure(odd: bytes) -> None:
+    """Guards against errors that end the loops of the tasks that ask."""
+
+    async def serve(_scope: Any, _receive: Any, send: Any) -> None:
+        await send_whole(send, 200, [], odd)
+
+    async def scenario() -> None:
+        platform = HttpServer(serve, '127.0.0.1', 0)
+        await platform.open()
+        url = f'http://127.0.0.1:{platform.port}'
+        settings = Settings(platform=PlatformSettings(urls=(url,)))
+        bus = MessageBus()
+        kernel = Kernel(Context(settings, bus, Random(1), 1), ('store',))
+        await kernel.start()
+        read = await bus.ask(StoreGet('a'))
+        watched = await bus.ask(StoreWatch('a', 1, 5000))
+        await kernel.stop()
+        await platform.close()
+        assert not read.failure().may_have_run
+        assert not watched.failure().may_have_run
+
+    run(scenario())
