--- a/bergamotshunt/peers/gossip_codec.py
+++ b/bergamotshunt/peers/gossip_codec.py
@@ -10,8 +10,12 @@
     decode_msgpack,
 )
 from bergamotshunt.peers.datagrams import MAX_DATAGRAM_BYTES, Datagram
-from bergamotshunt.peers.members import check_member
-from bergamotshunt.value_checks import MAX_INTEGER, check_integer
+from bergamotshunt.peers.member_checks import (
+    MAX_NUMBER,
+    is_usable_era,
+    is_usable_event,
+)
+from bergamotshunt.value_checks import check_integer
 
 ENCODER: Final = Encoder()
 
@@ -36,32 +40,39 @@
 
 
 def decode_datagram(content: bytes) -> Datagram | None:
-    """Decode a datagram; return None when it is malformed."""
+    """Decode a datagram; return None when it is malformed.
+
+    Updates with values that cannot be used are left out.
+    """
     if len(content) > MAX_DATAGRAM_BYTES:
         return None
     try:
-        with convert_malformed('malformed gossip datagram'):
-            return _check_datagram(
-                decode_msgpack(content, 'datagram', Datagram)
-            )
+        datagram = parse_datagram(content)
     except MalformedInputError:
         return None
+    return datagram._replace(
+        events=tuple(filter(is_usable_event, datagram.events)),
+        eras=tuple(filter(is_usable_era, datagram.eras)),
+    )
+
 
+def parse_datagram(content: bytes) -> Datagram:
+    """Decode a datagram and check its numbers, but not its updates.
 
-def _check_datagram(datagram: Datagram) -> Datagram:
-    check_integer('process', datagram.process_id)
-    check_integer('sequence', datagram.sequence)
-    check_integer('revision', datagram.revision)
-    check_integer('age', datagram.age_ms, -MAX_INTEGER)
-    for field in datagram.load or ():
-        check_integer('load', field)
-    for event in datagram.events:
-        check_integer('incarnation', event.incarnation)
-        if event.record is not None:
-            check_member(event.record)
-    for update in datagram.eras:
-        check_integer('process', update.process_id)
-        check_integer('era', update.era)
+    Raises:
+        MalformedInputError: The content is no datagram.
+    """
+    datagram = decode_msgpack(content, 'datagram', Datagram)
+    with convert_malformed('datagram'):
+        numbers = (
+            datagram.process_id,
+            datagram.sequence,
+            datagram.revision,
+            datagram.age_ms,
+            *(datagram.load or ()),
+        )
+        for number in numbers:
+            check_integer('number', number, 0, MAX_NUMBER)
     return datagram
 
 
