Keep probing the backend server after an odd response

What operators saw: after one probe whose response is nested 60,000 deep, or whose load has more than 308 digits, the daemon never probed its server again, so that a server which failed later was not taken out by probes.

Cause: RecursionError of the decoder and OverflowError of the metric were no expected errors and ended the loop of the prober.

Change: the response is decoded with decoding.py, and a load out of range is ignored.

Test: test_probes_go_on_after_an_odd_response, 3 cases; 2 failed before (no further probe within 20 s), all pass now.

--- a/bergamotshunt/plugins/prober.py
+++ b/bergamotshunt/plugins/prober.py
@@ -3,8 +3,6 @@
 from asyncio import sleep
 from typing import Any, Final
 
-from msgspec import DecodeError
-from msgspec.json import decode
 from returns.result import Success
 
 from bergamotshunt.backend.guard_metrics import (
@@ -21,6 +19,7 @@
     try_spend,
     with_rate,
 )
+from bergamotshunt.decoding import MalformedInputError, decode_json
 from bergamotshunt.kernel import (
     PLUGINS,
     Context,
@@ -37,6 +36,7 @@
     TargetsChanged,
 )
 from bergamotshunt.peers.members import ServerState
+from bergamotshunt.value_checks import check_integer
 from bergamotshunt.verdicts import Verdict
 
 HANDLERS: Final = HandlerTable()
@@ -145,8 +145,11 @@
         outcome = await self.send_probe(self.server.load_path)
         reported = read_probe_document(outcome)
         for field in LOAD_FIELDS:
-            if isinstance(reported.get(field), int):
-                REPORTED_LOAD.set(reported[field])
+            try:
+                load = check_integer(field, reported.get(field))
+            except ValueError:
+                continue
+            REPORTED_LOAD.set(load)
 
     async def send_probe(self, path: str) -> tuple[int, bytes]:
         """Send one probe.
@@ -176,8 +179,8 @@
 def read_probe_document(outcome: tuple[int, bytes]) -> dict[str, Any]:
     """Return the JSON object in a probe's response; empty if none."""
     try:
-        document = decode(outcome[1] or b'{}')
-    except DecodeError:
+        document = decode_json(outcome[1] or b'{}', 'response to a probe')
+    except MalformedInputError:
         return {}
     return document if isinstance(document, dict) else {}
 
--- a/bergamotshunt/tests/test_prober.py
+++ b/bergamotshunt/tests/test_prober.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import pytest
+
 from bergamotshunt.messages import HealthObserved, ServerStateChanged
 from bergamotshunt.peers.members import ServerState
-from bergamotshunt.plugins.prober import ProberTask
+from bergamotshunt.plugins.prober import PROBES_PER_LOAD_PROBE, ProberTask
 from bergamotshunt.tests.guard_harness import GuardHarness, with_guard
 
 PLUGINS = ('guard', 'prober')
@@ -81,3 +83,27 @@
         await respond_to_probe(harness, b'', '200 OK')
 
     with_guard(scenario, PLUGINS, slots=4)
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        b'[' * 60_000,
+        b'{"running": 1' + b'0' * 310 + b'}',
+        b'\xff',
+    ],
+    ids=['nested', 'huge', 'no JSON'],
+)
+def test_probes_go_on_after_an_odd_response(odd: bytes) -> None:
+    """Guards against a prober that ends, so that no failure is ever seen.
+
+    Enough responses are odd that a probe of the load is among them.
+    """
+
+    async def scenario(harness: GuardHarness) -> None:
+        async with asyncio.timeout(20):
+            for _ in range(2 * PROBES_PER_LOAD_PROBE):
+                await respond_to_probe(harness, odd, '200 OK')
+        assert prober_of(harness).probes >= 2 * PROBES_PER_LOAD_PROBE
+
+    with_guard(scenario, PLUGINS)
