Refuse odd requests to the administration API with status 400

What operators saw: status 500 for a document nested 100,000 deep and for a revision of 5,000 digits in If-Match or in the query.

Cause: RecursionError and the limit of digits of int() were no expected errors.

Change: the document is decoded with decoding.py, and numbers have at most 16 digits.

Test: test_odd_requests_are_refused; before 500 three times, now 400.

--- a/bergamotshunt/operators/admin_responses.py
+++ b/bergamotshunt/operators/admin_responses.py
@@ -19,6 +19,7 @@
 from bergamotshunt.verdicts import CallFailure, Verdict, create_problem
 
 ETAG_HEADER: Final = 'etag'
+MAX_ETAG_DIGITS: Final = 16
 RETRY_AFTER_S: Final = '2'
 STATUS_BY_KIND: Final = {
     SubmitFailureKind.CONFLICT: HTTPStatus.PRECONDITION_FAILED,
@@ -45,7 +46,8 @@
         MalformedEtagError: It is not a single strong tag of a revision.
     """
     digits = text.strip().removeprefix('"').removesuffix('"')
-    if not digits.isdecimal() or text.strip() != f'"{digits}"':
+    is_number = digits.isdecimal() and len(digits) <= MAX_ETAG_DIGITS
+    if not is_number or text.strip() != f'"{digits}"':
         raise MalformedEtagError(
             f'If-Match is {text!r}, expected one revision such as "12"',
         )
--- a/bergamotshunt/plugins/admin.py
+++ b/bergamotshunt/plugins/admin.py
@@ -5,8 +5,6 @@
 from typing import Any, Final
 from uuid import uuid4
 
-from msgspec import DecodeError
-from msgspec.json import decode
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from returns.result import Failure, Result
 from starlette.applications import Starlette
@@ -15,6 +13,7 @@
 from starlette.routing import Route
 
 from bergamotshunt.decisions.validation import check_service
+from bergamotshunt.decoding import MalformedInputError, decode_json
 from bergamotshunt.http.web import (
     BodyTooLargeError,
     CallerDisconnectedError,
@@ -69,6 +68,7 @@
 SERVICE_PATH: Final = '/v1/targets/{service}'
 MAX_REASON_LENGTH: Final = 500
 MAX_SUBMISSION_ID_LENGTH: Final = 128
+MAX_NUMBER_DIGITS: Final = 16
 MAX_LISTED_CHANGES: Final = 1000
 DEFAULT_LISTED_CHANGES: Final = 100
 # A submission makes several attempts, and each attempt makes calls that
@@ -177,14 +177,14 @@
         """Create or replace the targets of a service."""
         try:
             body = await read_request_body(request.receive, MAX_BODY_BYTES)
-            document = decode(body)
+            document = decode_json(body, 'the body')
         except BodyTooLargeError as error:
             return create_bad_request_response(
                 str(error), HTTPStatus.REQUEST_ENTITY_TOO_LARGE
             )
         except CallerDisconnectedError as error:
             return create_bad_request_response(str(error))
-        except DecodeError as error:
+        except MalformedInputError as error:
             return create_bad_request_response(f'the body is not JSON: {error}')
         checked = check_service(document, request.path_params[SERVICE])
         if checked.service is None:
@@ -270,7 +270,8 @@
         """Return the requested part of the audit trail."""
         numbers_by_name = {'after': -1, 'limit': DEFAULT_LISTED_CHANGES}
         for name, text in request.query_params.items():
-            if name not in numbers_by_name or not text.isdecimal():
+            is_number = text.isdecimal() and len(text) <= MAX_NUMBER_DIGITS
+            if name not in numbers_by_name or not is_number:
                 return create_bad_request_response(
                     'the query may contain only after=REVISION and '
                     f'limit=NUMBER, not {name}={text}',
--- a/bergamotshunt/tests/test_admin.py
+++ b/bergamotshunt/tests/test_admin.py
@@ -418,3 +418,20 @@
     args = ('status', '--admin', 'http://127.0.0.1:1')
     assert run_command(args) == 1
     assert 'check --admin' in capsys.readouterr().err
+
+
+def test_odd_requests_are_refused() -> None:
+    """Guards against status 500 for input that an operator can correct."""
+
+    async def scenario(client: Client) -> None:
+        nested = b'{"targets": ' + b'[' * 100_000
+        document = await client.request('PUT', TARGETS_PATH, body=nested)
+        listed = await client.request('GET', f'/v1/changes?after={"9" * 5000}')
+        digits = '"' + '9' * 5000 + '"'
+        matched = await client.request(
+            'PUT', TARGETS_PATH, TARGETS_DOCUMENT, if_match=digits
+        )
+        responses = (document, listed, matched)
+        assert [response.status for response in responses] == [400, 400, 400]
+
+    run_scenario(scenario)
