Answer a request that asks for an upgrade

Callers saw: the end of the connection and no response, for a request with 'Connection: Upgrade' or the method CONNECT.

Cause: the parser stops behind such a request with HttpParserUpgrade, which is no HttpParserError; it left data_received, and the loop closed the connection.

Change: the request is served without the upgrade, as the last of its connection; what follows belongs to another protocol and is not parsed.

Result: test_request_for_an_upgrade_is_served_without_it failed before (empty response) and passes; 13 tests of test_mesh_http.py pass.

--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -9,7 +9,7 @@
 from math import inf
 from typing import Any, Final, Protocol
 
-from httptools import HttpParserError, HttpRequestParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from bergamotshunt.decisions.connection_closing import stall_timeout_s
 from bergamotshunt.http.connection_ends import (
@@ -104,6 +104,8 @@
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
+        except HttpParserUpgrade:
+            self._end_requests()
         except HttpParserError:
             self._reject(HTTPStatus.BAD_REQUEST)
         if self._head_bytes > self._listener.limits.head_bytes:
@@ -315,6 +317,14 @@
             self.set_reading(True)
         return True
 
+    def _end_requests(self) -> None:
+        """Serve the last request without its upgrade, then close.
+
+        The parser takes all that follows for the other protocol.
+        """
+        if self._exchanges:
+            self._exchanges[-1].closing = True
+
     def _create_head(self) -> RequestHead:
         by_name = {name.lower(): content for name, content in self._headers}
         length: int | None = 0
--- a/bergamotshunt/tests/test_mesh_http.py
+++ b/bergamotshunt/tests/test_mesh_http.py
@@ -257,6 +257,22 @@
         assert response.startswith(b'HTTP/1.1 ' + status), (content, response)
 
 
+def test_request_for_an_upgrade_is_served_without_it() -> None:
+    """Guards against a connection that ends without a response.
+
+    The parser stops with an exception of its own behind such a request.
+    """
+    upgrade = b'GET /%b HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\n'
+    cases = (
+        upgrade % b'u' + b'Upgrade: other\r\n\r\nbytes of it',
+        b'CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\nbytes of it',
+    )
+    for content in cases:
+        response = asyncio.run(exchange_bytes(Listener(echo), content))
+        assert response.startswith(b'HTTP/1.1 200')
+        assert b'Connection: close' in response
+
+
 @given(st.lists(st.binary(max_size=300), max_size=6), st.booleans())
 @settings(derandomize=True, deadline=None, max_examples=60)
 def test_bodies_arrive_whole(pieces: list[bytes], chunked: bool) -> None:
