Ignore signals between the stop of the daemon and its exit

Cause: closing the event loop restores the default action of its signals, so a repeated SIGTERM or SIGHUP in the last moments ends the process.

Change: once the kernel has stopped, the signals are ignored.

--- a/bergamotshunt/daemon.py
+++ b/bergamotshunt/daemon.py
@@ -10,7 +10,7 @@
 )
 from os import environ
 from random import Random
-from signal import SIGINT, SIGTERM
+from signal import SIG_IGN, SIGHUP, SIGINT, SIGTERM, signal
 from time import time
 from typing import Final
 
@@ -68,6 +68,18 @@
     return True
 
 
+def ignore_signals() -> None:
+    """Ignore the signals of the daemon until the process exits.
+
+    Closing the event loop would restore their default action, so that a
+    repeated SIGTERM ends a daemon that has stopped in an orderly way.
+    """
+    loop = get_running_loop()
+    for signal_number in (SIGTERM, SIGINT, SIGHUP):
+        loop.remove_signal_handler(signal_number)
+        signal(signal_number, SIG_IGN)
+
+
 async def run_until_signal(settings: Settings) -> int:
     """Run a daemon until SIGTERM or SIGINT, then drain it.
 
@@ -81,6 +93,7 @@
     is_drained = await kernel.drain(settings.daemon.drain_timeout_s)
     log_event('daemon:drained', complete=is_drained)
     await kernel.stop()
+    ignore_signals()
     return EXIT_OK if is_drained else EXIT_FAILED
 
 
--- a/bergamotshunt/mesh_daemon.py
+++ b/bergamotshunt/mesh_daemon.py
@@ -20,6 +20,7 @@
     EXIT_OK,
     MS_PER_S,
     create_runner,
+    ignore_signals,
     run_until_stop_requested,
 )
 from bergamotshunt.http.connection_ends import total_of
@@ -119,6 +120,7 @@
     is_drained = await kernel.drain(mesh.bounds.grace_s - SIGKILL_MARGIN_S)
     await _log_drained(kernel, is_drained=is_drained)
     await kernel.stop()
+    ignore_signals()
     return EXIT_OK
 
 
--- /dev/null
+++ b/bergamotshunt/tests/test_mesh_signals.py
@@ -0,0 +1,63 @@
+"""Tests of a daemon process that gets further signals while it stops."""
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+from signal import SIGHUP, SIGTERM
+
+from bergamotshunt.platform.boot import FILE_VARIABLE
+from bergamotshunt.tests.mesh import LOOPBACK_PREFIX, free_ports
+
+DAEMON = (sys.executable, '-um', 'bergamotshunt', 'daemon', '--platform')
+SIGNAL_INTERVAL_S = 0.005
+WAIT_TIMEOUT_S = 60.0
+IP = f'{LOOPBACK_PREFIX}.90'
+SETTINGS = """node_name=h0
+ip={ip}
+zone=z
+service=shop
+app_addr={ip}:{ports[0]}
+listen.outbound={ip}:{ports[1]}
+listen.inbound={ip}:{ports[2]}
+listen.ready={ip}:{ports[3]}
+listen.control={ip}:{ports[4]}
+port_range={ports[5]},{last_port}
+platform.address={ip}:{ports[6]}
+platform.min_ttl_ms=1000
+bounds=grace_s=6,retry_budget_ratio=0.2,budget_window_s=10,budget_slack=56
+"""
+
+
+async def signal_until_exit(settings: Path) -> int | None:
+    """Start a daemon and signal it until it ends; return its exit code."""
+    process = await asyncio.create_subprocess_exec(
+        *DAEMON,
+        env=dict(os.environ, **{FILE_VARIABLE: str(settings)}),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    assert process.stdout is not None
+    async with asyncio.timeout(WAIT_TIMEOUT_S):
+        while b'daemon:started' not in await process.stdout.readline():
+            continue
+        while process.returncode is None:
+            process.send_signal(SIGHUP)
+            process.send_signal(SIGTERM)
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+    return process.returncode
+
+
+def test_signals_until_the_exit_do_not_change_the_exit_code(
+    tmp_path: Path,
+) -> None:
+    """Guards against a process that a late signal ends before it exits.
+
+    Closing the event loop restores the default action of its signals.
+    """
+    ports = free_ports(IP, 7)
+    settings = tmp_path / 'settings.conf'
+    settings.write_text(
+        SETTINGS.format(ip=IP, ports=ports, last_port=ports[5] + 1),
+        encoding='utf-8',
+    )
+    assert asyncio.run(signal_until_exit(settings)) == 0
