Record the end of a connection in a class of its own

Cause: server_connection.py had grown by the orderly close and its records. Change: EndRecorder in http/connection_ends.py keeps reason, unsent bytes and the last request's id.

--- a/bergamotshunt/http/connection_ends.py
+++ b/bergamotshunt/http/connection_ends.py
@@ -83,3 +83,56 @@
         responses_due=sum(state.responses_due for state in states),
         unsent_bytes=sum(state.unsent_bytes for state in states),
     )
+
+
+class EndRecorder:
+    """Records why a connection ends, and what it had not sent by then.
+
+    Args:
+        client: Address of the client, as ``ip:port``.
+
+    Attributes:
+        request_id: Id of the last request with a response; empty when
+            unknown.
+    """
+
+    def __init__(self, client: str = '') -> None:
+        """Create a recorder of an open connection."""
+        self.request_id = ''
+        self._client = client
+        self._reason: CloseReason | None = None
+        self._is_aborted = False
+        self._unsent_bytes = 0
+
+    def record_unsent(self, unsent_bytes: int) -> None:
+        """Record the response bytes that are unsent now."""
+        self._unsent_bytes = unsent_bytes
+
+    def record_close(self, reason: CloseReason, unsent_bytes: int) -> None:
+        """Record that the connection closes; the first reason is kept."""
+        self._unsent_bytes = unsent_bytes
+        self._reason = self._reason or reason
+
+    def record_abort(self, reason: CloseReason, unsent_bytes: int) -> None:
+        """Record that the connection closes without sending the rest."""
+        self._unsent_bytes = unsent_bytes
+        self._reason = reason
+        self._is_aborted = True
+
+    def end(
+        self, error: Exception | None, due_request_ids: list[str]
+    ) -> ConnectionEnd:
+        """Return the end of the connection.
+
+        Args:
+            error: Error of the transport; None when it closed in order.
+            due_request_ids: Ids of the requests without a complete response.
+        """
+        is_flushed = error is None and not self._is_aborted
+        return ConnectionEnd(
+            self._reason or CloseReason.CONNECTION_FAILED,
+            self._client,
+            0 if is_flushed else self._unsent_bytes,
+            len(due_request_ids),
+            due_request_ids[0] if due_request_ids else self.request_id,
+        )
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -15,6 +15,7 @@
 from bergamotshunt.http.connection_ends import (
     CloseReason,
     ConnectionEnd,
+    EndRecorder,
     OpenConnections,
 )
 from bergamotshunt.http.exchanges import Exchange
@@ -77,12 +78,8 @@
         self._next_response_changed = Event()
         self._pause_count: int = 0
         self._rejecting = False
-        self._client = ''
         self._lingering_close: LingeringClose | None = None
-        self._close_reason: CloseReason | None = None
-        self._is_aborted = False
-        self._unsent_bytes = 0
-        self._last_request_id = ''
+        self._end_recorder = EndRecorder()
         self._last_response_s = -inf
 
     # Transport callbacks
@@ -90,7 +87,7 @@
     def connection_made(self, transport: Any) -> None:
         """Set the socket options and start the timeout checks."""
         self._transport = transport
-        self._client = format_address(transport)
+        self._end_recorder = EndRecorder(format_address(transport))
         set_socket_options(transport)
         self._idle_since_s = self._listener.now_s()
         self._listener.connections.add(self)
@@ -113,7 +110,9 @@
 
     def eof_received(self) -> bool:
         """Close the connection: the client has closed its side."""
-        self._record_close(CloseReason.CLIENT_CLOSED)
+        self._end_recorder.record_close(
+            CloseReason.CLIENT_CLOSED, self._count_unsent_bytes()
+        )
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -133,13 +132,14 @@
     def pause_writing(self) -> None:
         """Stop writing responses: the client does not read."""
         self._can_write.clear()
-        self._unsent_bytes = self._count_unsent_bytes()
+        self._end_recorder.record_unsent(self._count_unsent_bytes())
 
     def resume_writing(self) -> None:
         """Resume writing responses."""
         self._can_write.set()
-        self._unsent_bytes = self._count_unsent_bytes()
-        if self._lingering_close is not None and not self._unsent_bytes:
+        unsent_bytes = self._count_unsent_bytes()
+        self._end_recorder.record_unsent(unsent_bytes)
+        if self._lingering_close is not None and not unsent_bytes:
             self._lingering_close.record_flush()
         self._listener.report_progress()
 
@@ -274,9 +274,7 @@
     def abort(self, reason: CloseReason) -> None:
         """Close the connection at once and drop what is unsent."""
         if self._transport is not None:
-            self._record_close(reason)
-            self._close_reason = reason
-            self._is_aborted = True
+            self._end_recorder.record_abort(reason, self._count_unsent_bytes())
             self._transport.abort()
 
     def close_if_idle(self) -> None:
@@ -306,7 +304,7 @@
                 return False
             exchange.closing = True
         self._exchanges.popleft()
-        self._last_request_id = exchange.request_id
+        self._end_recorder.request_id = exchange.request_id
         self._last_response_s = self._listener.now_s()
         self._next_response_changed.set()
         self._next_response_changed = Event()
@@ -367,7 +365,7 @@
             return
         if self._lingering_close is not None:
             return
-        self._record_close(reason)
+        self._end_recorder.record_close(reason, self._count_unsent_bytes())
         if self._timer is not None:
             self._timer.cancel()
         self._lingering_close = LingeringClose(
@@ -400,31 +398,15 @@
                 exchange.task.cancel()
         self._exchanges.clear()
 
-    def _record_close(self, reason: CloseReason) -> None:
-        """Keep the first reason, and the number of bytes unsent now."""
-        self._unsent_bytes = self._count_unsent_bytes()
-        if self._close_reason is None:
-            self._close_reason = reason
-
     def _count_unsent_bytes(self) -> int:
         if self._transport is None:
             return 0
         return self._transport.get_write_buffer_size()
 
     def _report_end(self, error: Exception | None) -> None:
-        reason = self._close_reason or CloseReason.CONNECTION_FAILED
-        is_flushed = error is None and not self._is_aborted
-        request_id = self._last_request_id
-        if self._exchanges:
-            request_id = self._exchanges[0].request_id
+        due_request_ids = [exchange.request_id for exchange in self._exchanges]
         self._listener.on_connection_end(
-            ConnectionEnd(
-                reason,
-                self._client,
-                0 if is_flushed else self._unsent_bytes,
-                len(self._exchanges),
-                request_id,
-            )
+            self._end_recorder.end(error, due_request_ids)
         )
 
     def _check_timeouts(self) -> None:
