Respond to the requests that are left when the drain is over

Cause: nothing ended waiting requests before kernel.stop; only requests whose deadline passed or whose server refused were answered.

Change: in the step Task.finish, inbound refuses what waits for a slot as not run, and outbound makes no further attempt, refuses at once what no server may have got (503 with Retry-After), and responds 504 to the rest 0.1 s later.

--- a/bergamotshunt/choice/dispatching.py
+++ b/bergamotshunt/choice/dispatching.py
@@ -55,6 +55,8 @@
         log: Rate-limited log of requests.
         rng: Random source.
         metrics: Metrics of the task that sends the requests.
+        stopping: Whether no further attempt is made, as it could not end
+            before the daemon does.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         self.log = RequestLog(monotonic)
         self.rng = rng
         self.metrics = metrics
+        self.stopping = False
         self._records = records
         self._route_stats = RouteStats()
         self._bound = bound
@@ -97,6 +100,8 @@
         Returns:
             The choice, or None when no server accepts requests.
         """
+        if self.stopping:
+            return None
         now_s = get_running_loop().time()
         return choose_server(
             self._records.views(request.service, tried, now_s),
--- a/bergamotshunt/ingress/request_proxy.py
+++ b/bergamotshunt/ingress/request_proxy.py
@@ -1,6 +1,6 @@
 """Forwards clients' requests to servers and sends the responses back."""
 
-from asyncio import timeout_at
+from asyncio import Timeout, get_running_loop, timeout_at
 from http import HTTPStatus
 from typing import Final
 
@@ -16,6 +16,9 @@
 from bergamotshunt.verdicts import Verdict
 
 MIN_RETRY_AFTER_MS: Final = 50.0
+# Time for the last responses of servers when the drain of the daemon is over;
+# the kernel reserves twice as much.
+LAST_RESPONSES_S: Final = 0.1
 
 
 class RequestProxy:
@@ -28,22 +31,38 @@
     def __init__(self, dispatcher: Dispatcher) -> None:
         """Create a proxy."""
         self._dispatcher = dispatcher
+        self._timeouts_by_forwarder: dict[RequestForwarder, Timeout] = {}
+
+    def end_requests(self) -> None:
+        """Respond to the requests that are left: the daemon is about to end.
+
+        Requests that no server may have got are refused as not run at once.
+        """
+        self._dispatcher.stopping = True
+        now_s = get_running_loop().time()
+        for forwarder, limit in self._timeouts_by_forwarder.items():
+            wait_s = LAST_RESPONSES_S if forwarder.may_have_run else 0
+            limit.reschedule(min(limit.when() or now_s, now_s + wait_s))
 
     async def forward(self, request: ForwardedRequest) -> None:
         """Forward a request and respond to its client."""
         forwarder = RequestForwarder(self._dispatcher, request)
         try:
-            async with timeout_at(request.deadline_s):
+            async with timeout_at(request.deadline_s) as limit:
+                self._timeouts_by_forwarder[forwarder] = limit
                 outcome = await forwarder.run()
         except TimeoutError:
             forwarder.log.log_failure(
-                'timeout', may_have_run=forwarder.may_have_run
+                'stopping' if self._dispatcher.stopping else 'timeout',
+                may_have_run=forwarder.may_have_run,
             )
             self._respond_to_timeout(request, forwarder)
             return
         except IncompleteBodyError:
             # The client's connection ended before its request was complete.
             return
+        finally:
+            self._timeouts_by_forwarder.pop(forwarder, None)
         if outcome.response is None:
             forwarder.log.log_failure(
                 outcome.reason,
--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -86,6 +86,11 @@
         self._listener.close_after_responses()
         await self._listener.wait_until_idle()
 
+    async def finish(self) -> None:
+        """Refuse what still waits for a slot, and send the last responses."""
+        self._server.slot_queue.refuse_all('stopping')
+        await super().finish()
+
     async def close(self) -> None:
         """Close all connections."""
         await super().close()
--- a/bergamotshunt/plugins/mesh/outbound.py
+++ b/bergamotshunt/plugins/mesh/outbound.py
@@ -80,6 +80,11 @@
         self._listener.close_idle()
         await self._listener.wait_until_idle()
 
+    async def finish(self) -> None:
+        """Respond to what is left, and wait until the responses are sent."""
+        self._proxy.end_requests()
+        await super().finish()
+
     async def close(self) -> None:
         """Close all connections."""
         await super().close()
--- a/bergamotshunt/tests/test_mesh_shutdown.py
+++ b/bergamotshunt/tests/test_mesh_shutdown.py
@@ -496,3 +496,43 @@
     assert end.fields['reason'] == 'shutdown'
     assert end.fields['request_id'] == 'r1'
     assert end.fields['unsent_bytes'] > 0
+
+
+@pytest.mark.usefixtures('short_notice')
+@pytest.mark.parametrize('task_name', ['inbound', 'outbound'])
+def test_requests_that_wait_at_the_end_of_the_drain_are_refused(
+    task_name: str,
+) -> None:
+    """Guards against a closed connection for a request that never ran.
+
+    The server's only slot is taken until the drain is over, and the request
+    still waits for it.
+    """
+
+    async def run_scenario() -> tuple[list[bytes], bytes]:
+        async with Mesh([respond_large]) as mesh:
+            host = mesh.hosts[0]
+            host.server.may_respond.clear()
+            mesh._inbound(0)._server.slot_queue.limit = 1
+            requests_by_task = {
+                'inbound': peer_request(8000),
+                'outbound': client_request().replace(b'/read/', b'/book/'),
+            }
+            request = requests_by_task[task_name]
+            address = listening_task(mesh, task_name)._address
+            async with (
+                SlowClient(address.ip, address.port) as running,
+                SlowClient(address.ip, address.port) as waiting,
+            ):
+                await running.send(request)
+                await mesh.wait_until(lambda: bool(mesh.runs()))
+                await waiting.send(request.replace(b'r1', b'r2'))
+                await mesh.wait_until(lambda: mesh.waiting(0) == 1)
+                assert not await host.kernel.drain(0.8)
+                await host.kernel.stop()
+                return mesh.runs(), await waiting.read_until_closed()
+
+    with create_runner() as runner:
+        runs, response = runner.run(run_scenario())
+    assert runs == [b'r1']
+    assert response.startswith(b'HTTP/1.1 503')
