Ignore SIGHUP while the modules of the daemon load

Cause: the handler is set when the event loop runs, after all imports. Change: the entry point ignores the signal first; the loop's handler replaces that. Result: test_reload_signal_does_not_end_a_daemon_that_starts failed before and passes.

--- a/bergamotshunt/__main__.py
+++ b/bergamotshunt/__main__.py
@@ -1,5 +1,6 @@
 """Entry point of ``python -m bergamotshunt``."""
 
+from signal import SIG_IGN, SIGHUP, signal
 from sys import argv
 from sys import exit as exit_process
 from typing import Final
@@ -14,6 +15,8 @@
     its hosts.
     """
     if argv[1:] == MESH_COMMAND:
+        # The default action would end a daemon that is still starting.
+        signal(SIGHUP, SIG_IGN)
         from bergamotshunt.mesh_daemon import run_mesh_daemon
 
         exit_process(run_mesh_daemon())
--- a/bergamotshunt/tests/test_mesh_signals.py
+++ b/bergamotshunt/tests/test_mesh_signals.py
@@ -4,8 +4,12 @@
 import os
 import sys
 from pathlib import Path
-from signal import SIGHUP, SIGTERM
+from signal import SIG_DFL, SIG_IGN, SIGHUP, SIGTERM, getsignal, signal
 
+import pytest
+
+from bergamotshunt import __main__ as command
+from bergamotshunt import mesh_daemon
 from bergamotshunt.platform.boot import FILE_VARIABLE
 from bergamotshunt.tests.mesh import LOOPBACK_PREFIX, free_ports
 
@@ -61,3 +65,23 @@
         encoding='utf-8',
     )
     assert asyncio.run(signal_until_exit(settings)) == 0
+
+
+def test_reload_signal_does_not_end_a_daemon_that_starts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against the default action of SIGHUP while modules load."""
+    seen: list[object] = []
+
+    def run_mesh_daemon() -> int:
+        seen.append(getsignal(SIGHUP))
+        return 0
+
+    monkeypatch.setattr(mesh_daemon, 'run_mesh_daemon', run_mesh_daemon)
+    monkeypatch.setattr(command, 'argv', ['daemon', *command.MESH_COMMAND])
+    try:
+        with pytest.raises(SystemExit):
+            command.main()
+    finally:
+        signal(SIGHUP, SIG_DFL)
+    assert seen == [SIG_IGN]
