Ask the watches again after an ended lease or a missed configuration

Callers saw (review of the store watch): a lost watch was noticed by a failed renewal only. A suspension, which the monotonic clock does not count, and a silence between two renewals were not noticed, and a peer with a newer configuration showed it for the configuration's watch alone.

Change: an ended lease counts as a failed call, since the store has not heard of the daemon for 5 s; a configuration that a peer had first makes the watch of the entries be asked again, too. The loop of the own entry waits with asyncio.timeout, as wait_for can swallow the cancellation of its task.

Not mended: a daemon that never had a server, and watches that are lost while every other call is answered, wait up to 21 s.

--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -140,6 +140,10 @@
     contact: StoreContact
 
 
+class ConfigurationMissed(NamedTuple):
+    """A peer had a newer configuration than the watch had delivered."""
+
+
 class StopRequested(NamedTuple):
     """The daemon was asked to stop and starts to drain."""
 
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -1,13 +1,15 @@
 """Fleet: stores this server's entry under a lease and watches all others."""
 
-from asyncio import Event, sleep, wait_for
+from asyncio import Event, sleep, timeout
+from contextlib import suppress
 from typing import Any, Final
 
 from bergamotshunt.decisions.known_servers import KnownServers
 from bergamotshunt.decisions.store_contact import StoreContact, record_call
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.log import log_event
-from bergamotshunt.mesh_messages import (
+from bergamotshunt.mesh_messages import (  # noqa: WPS235
+    ConfigurationMissed,
     DescribeState,
     OwnServerChanged,
     ServerEntryReceived,
@@ -125,6 +127,13 @@
         self._known_servers.apply_report(message.entry, self.context.clock())
         self._publish()
 
+    @handlers.on(ConfigurationMissed)
+    def handle_missed_configuration(
+        self, _message: ConfigurationMissed
+    ) -> None:
+        """Ask the pending watch again: it may be lost as well."""
+        self._watch.abandon('configuration-missed')
+
     @handlers.on(StopRequested)
     def handle_stop(self, _message: StopRequested) -> None:
         """Revoke the lease of a leaving or deregistered server.
@@ -167,11 +176,12 @@
     async def _run_own_entry(self) -> None:
         while True:
             wait_s = await self._renew_own_entry()
-            try:
-                await wait_for(self._entry_changed.wait(), wait_s)
-            except TimeoutError:
-                continue
-            self._entry_changed.clear()
+            # asyncio.wait_for of Python 3.11 can swallow a cancellation that
+            # arrives with the event, and the task would never close.
+            with suppress(TimeoutError):
+                async with timeout(wait_s):
+                    await self._entry_changed.wait()
+                    self._entry_changed.clear()
 
     async def _renew_own_entry(self) -> float:
         """Renew the lease and write the entry.
@@ -180,7 +190,8 @@
             The time until the next renewal, in seconds.
         """
         started_s = self.context.clock()
-        renewed_s = self._own_entry.renewed_s
+        own = self._own_entry
+        renewed_s, ended_leases = own.renewed_s, own.ended_leases
         try:
             await self._update_own_entry()
         except StoreError as error:
@@ -188,8 +199,11 @@
             self._record_call(started_s, failed=True)
             return self._retry_delay_s(started_s)
         self._set_store_state(None)
-        if self._own_entry.renewed_s > renewed_s:
-            self._record_call(self._own_entry.renewed_s, failed=False)
+        if own.ended_leases > ended_leases:
+            # The store has not heard of this daemon for the whole lease.
+            self._record_call(started_s, failed=True)
+        if own.renewed_s > renewed_s:
+            self._record_call(own.renewed_s, failed=False)
         return RENEW_INTERVAL_S
 
     def _retry_delay_s(self, started_s: float) -> float:
--- a/bergamotshunt/plugins/mesh/routes.py
+++ b/bergamotshunt/plugins/mesh/routes.py
@@ -9,6 +9,7 @@
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.log import log_event
 from bergamotshunt.mesh_messages import (
+    ConfigurationMissed,
     DescribeState,
     PeerVersionReceived,
     RoutingChanged,
@@ -168,6 +169,7 @@
         if self._version > before:
             # The watch has not delivered a version that a peer already had.
             self._watch.abandon('peer-has-newer-version')
+            self.bus.publish(ConfigurationMissed())
 
 
 @MESH_PLUGINS.register('routes')
--- a/bergamotshunt/store/own_entry.py
+++ b/bergamotshunt/store/own_entry.py
@@ -41,6 +41,7 @@
         lease: Id of the lease; 0 without one.
         renewed_s: Monotonic time of the last renewal, in seconds.
         written: Entry known to be in the store; None when unknown.
+        ended_leases: Number of leases that ended without being revoked.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         self.lease = 0
         self.renewed_s: float = 0
         self.written: ServerEntry | None = None
+        self.ended_leases = 0
         self._store = store
         self._lease_ms = lease_ms
         self._clock = clock
@@ -108,6 +110,7 @@
         except LeaseEndedError:
             # The store has removed the entry together with its lease.
             self.mark_expired()
+            self.ended_leases += 1
             raise
 
     async def _renew_or_grant_lease(self) -> None:
--- a/bergamotshunt/tests/mesh.py
+++ b/bergamotshunt/tests/mesh.py
@@ -163,6 +163,15 @@
         by_ip = task._known_servers._by_ip
         return sum(known.stored for known in by_ip.values())
 
+    def abandoned_watches(self) -> int:
+        """Return how many watches of entries were asked again."""
+        tasks = [host.kernel.tasks_by_name['fleet'] for host in self.hosts]
+        return sum(
+            task._watch.abandoned
+            for task in tasks
+            if isinstance(task, FleetTask)
+        )
+
     def is_serving(self, number: int) -> bool:
         return self._inbound(number)._server.load().serving
 
--- a/bergamotshunt/tests/test_store_silence.py
+++ b/bergamotshunt/tests/test_store_silence.py
@@ -72,6 +72,29 @@
     asyncio.run(run_scenario())
 
 
+def test_entries_are_read_again_after_an_ended_lease() -> None:
+    """Guards against a daemon that was away without a failed call.
+
+    Its lease ended meanwhile, as after a suspension of the host, and its
+    watch of the entries is lost.
+    """
+
+    async def run_scenario() -> None:
+        async with Mesh([respond_with_echo, respond_with_echo]) as mesh:
+            await asyncio.sleep(1.0)
+            mesh.store.forget_pending()
+            await mesh.store.expire_leases()
+            await mesh.wait_until(
+                lambda: (
+                    len(mesh.store.read_values('')) == 3
+                    and all(mesh.stored_servers(host) == 2 for host in range(2))
+                )
+            )
+            assert mesh.abandoned_watches() > 0
+
+    asyncio.run(run_scenario())
+
+
 TIMES = st.floats(0, 100)
 
 
--- a/standins/mesh_store.py
+++ b/standins/mesh_store.py
@@ -74,6 +74,10 @@
     def fall_silent(self) -> None:
         """Answer none of the pending calls, and no call until the return."""
         self.silent = True
+        self.forget_pending()
+
+    def forget_pending(self) -> None:
+        """Answer none of the pending calls; their connections stay open."""
         self._silences += 1
 
     def reset_connections(self) -> None:
