Finish the stop of a daemon past errors and late events

Cause: the drains were gathered without regard to errors; asyncio.wait_for of Python 3.11 swallows a cancellation that arrives with the result.

Result: test_failing_drain_of_a_task_does_not_end_the_others failed before, and test_fleet_task_closes_beside_a_change_of_its_entry failed in 3 of 4 cases; all pass.

--- a/bergamotshunt/kernel.py
+++ b/bergamotshunt/kernel.py
@@ -417,12 +417,17 @@
 ) -> bool:
     """Run coroutines until they end, or cancel them at a loop time.
 
+    An error of one is logged, so that the others still end in order.
+
     Returns:
-        Whether all of them ended in time.
+        Whether all of them ended in time and without an error.
     """
     try:
         async with timeout_at(end_s):
-            await gather(*coroutines)
+            outcomes = await gather(*coroutines, return_exceptions=True)
     except TimeoutError:
         return False
-    return True
+    errors = [found for found in outcomes if isinstance(found, Exception)]
+    for error in errors:
+        log_error('daemon:drain-failed', error)
+    return not errors
--- a/bergamotshunt/plugins/gossip.py
+++ b/bergamotshunt/plugins/gossip.py
@@ -1,6 +1,6 @@
 """Gossip: fleet membership by SWIM over UDP, with anti-entropy over HTTP."""
 
-from asyncio import Event, sleep, wait_for
+from asyncio import Event, sleep, timeout
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from typing import Any, Final
@@ -142,8 +142,10 @@
                 self.context.rng,
             )
             self.sync_requested.clear()
+            # asyncio.wait_for of Python 3.11 can swallow a cancellation.
             with suppress(TimeoutError):
-                await wait_for(self.sync_requested.wait(), pause_s)
+                async with timeout(pause_s):
+                    await self.sync_requested.wait()
 
     async def synchronize(self) -> bool:
         """Exchange tables with a live member and with an unknown peer.
--- a/bergamotshunt/tests/test_mesh_shutdown.py
+++ b/bergamotshunt/tests/test_mesh_shutdown.py
@@ -23,6 +23,7 @@
 )
 from bergamotshunt.platform.names import REQUEST_ID
 from bergamotshunt.plugins.mesh import inbound, outbound
+from bergamotshunt.plugins.mesh.fleet import FleetTask
 from bergamotshunt.tests.mesh import Mesh
 from bergamotshunt.tests.slow_client import (
     LARGE_CONTENT,
@@ -536,3 +537,59 @@
         runs, response = runner.run(run_scenario())
     assert runs == [b'r1']
     assert response.startswith(b'HTTP/1.1 503')
+
+
+@pytest.mark.usefixtures('short_notice')
+def test_failing_drain_of_a_task_does_not_end_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a shutdown that stops at the first error."""
+
+    async def fail() -> None:
+        raise RuntimeError('drain failed')
+
+    async def run_scenario() -> tuple[bool, bytes]:
+        async with Mesh([respond_large]) as mesh:
+            host = mesh.hosts[0]
+            loads = host.kernel.tasks_by_name['loads']
+            monkeypatch.setattr(loads, 'drain', fail)
+            address = host.settings.outbound
+            async with SlowClient(address.ip, address.port) as client:
+                await client.send(client_request())
+                await mesh.wait_until(lambda: bool(mesh.runs()))
+                reading = asyncio.create_task(client.read_until_closed())
+                is_drained = await host.kernel.drain(DRAIN_TIMEOUT_S)
+                await host.kernel.stop()
+                return is_drained, await reading
+
+    with create_runner() as runner:
+        is_drained, response = runner.run(run_scenario())
+    assert not is_drained
+    assert content_of(response) == LARGE_CONTENT
+
+
+@pytest.mark.parametrize('steps', range(4))
+def test_fleet_task_closes_beside_a_change_of_its_entry(steps: int) -> None:
+    """Guards against a stop that waits for a loop that was not cancelled.
+
+    The cancellation arrives within a few steps of the loop of the change.
+    """
+
+    async def run_scenario() -> None:
+        async with Mesh([respond_large]) as mesh:
+            fleet = mesh.hosts[0].kernel.tasks_by_name['fleet']
+            assert isinstance(fleet, FleetTask)
+            await mesh.wait_until(
+                lambda: (
+                    fleet._own_entry.written is not None
+                    and not fleet._entry_changed.is_set()
+                )
+            )
+            fleet._entry_changed.set()
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            async with asyncio.timeout(DRAIN_TIMEOUT_S):
+                await fleet.close()
+
+    with create_runner() as runner:
+        runner.run(run_scenario())
