Close behind the last due response after a rejected request

Callers saw: two pipelined requests ran, the third was rejected (408, 400, 413 or 431), and the connection closed behind the response to the first.

Cause: is_closing_after was true for every exchange once a request had been rejected, so the first response to start announced and did the close. Change: as while the listener closes, only the last due response does it.

test_requests_before_a_rejected_one_are_answered failed before for all four statuses with asyncio and uvloop (8 of 8); it passes now (8 of 8). ruff, flake8, mypy, test_mesh_http, test_mesh_shutdown and test_mesh_path pass.

--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -231,9 +231,8 @@
 
     def is_closing_after(self, exchange: Exchange) -> bool:
         """Return whether the connection closes after this response."""
-        return self._rejecting or (
-            self._listener.closing and self._exchanges[-1] is exchange
-        )
+        is_closing = self._rejecting or self._listener.closing
+        return is_closing and self._exchanges[-1] is exchange
 
     def transmit(self, chunk: bytes) -> None:
         """Write bytes to the client."""
