Pause reading once for too many pipelined requests

Callers saw: after a burst of more than 65 pipelined requests a connection was never read again; the requests behind it got no response.

Cause: each request above MAX_PIPELINED_REQUESTS paused reading, and pauses are counted; one resume followed when the count fell to the limit. Change: one pause, taken when the limit is passed and undone when the count falls to it.

test_reading_resumes_after_many_pipelined_requests failed before with asyncio and uvloop and passes now, as does test_mesh_http. flake8 on bergamotshunt/http and the test, mypy on the whole project.

--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -77,6 +77,7 @@
         self._can_write.set()
         self._next_response_changed = Event()
         self._pause_count: int = 0
+        self._is_pipeline_full = False
         self._rejecting = False
         self._lingering_close: LingeringClose | None = None
         self._end_recorder = EndRecorder()
@@ -176,8 +177,7 @@
         if exchange.head.by_name.get(b'expect', b'').lower() == b'100-continue':
             if self.is_next_response(exchange):
                 self.transmit(CONTINUE)
-        if len(self._exchanges) > MAX_PIPELINED_REQUESTS:
-            self.set_reading(False)
+        self._limit_pipelining()
         length = exchange.head.length
         if length is not None and length > self._listener.limits.body_bytes:
             self._reject_exchange(exchange, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -310,10 +310,16 @@
         if exchange.closing:
             self._close(CloseReason.LAST_RESPONSE)
             return False
-        if len(self._exchanges) == MAX_PIPELINED_REQUESTS:
-            self.set_reading(True)
+        self._limit_pipelining()
         return True
 
+    def _limit_pipelining(self) -> None:
+        """Pause reading once while too many requests are unfinished."""
+        is_full = len(self._exchanges) > MAX_PIPELINED_REQUESTS
+        if is_full is not self._is_pipeline_full:
+            self._is_pipeline_full = is_full
+            self.set_reading(not is_full)
+
     def _end_requests(self) -> None:
         """Serve the last request without its upgrade, then close.
 
--- a/bergamotshunt/tests/test_mesh_pipelining.py
+++ b/bergamotshunt/tests/test_mesh_pipelining.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 
 import pytest
 
 from bergamotshunt.daemon import create_runner
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.listeners import Listener
+from bergamotshunt.http.server_connection import MAX_PIPELINED_REQUESTS
 from bergamotshunt.routing import ClientLimits
 from bergamotshunt.tests.slow_client import SlowClient
 
@@ -58,3 +60,34 @@
     assert response.count(b'HTTP/1.1 ' + status) == 1
     # Only the last response announces the close.
     assert response.lower().count(b'connection: close') == 1
+
+
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_reading_resumes_after_many_pipelined_requests(
+    runner_factory: Callable[[], asyncio.Runner],
+) -> None:
+    """Guards against a connection that is never read again."""
+    burst = MAX_PIPELINED_REQUESTS + 16
+
+    async def run_scenario() -> int:
+        served = 0
+
+        async def serve(exchange: Exchange) -> None:
+            nonlocal served
+            served += 1
+            exchange.respond(200, [])
+
+        listener = Listener(serve)
+        port = await listener.open('127.0.0.1', 0)
+        async with SlowClient('127.0.0.1', port) as client:
+            for total in (burst, 2 * burst):
+                await client.send(REQUEST * burst)
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(1):
+                        while served < total:
+                            await asyncio.sleep(0.01)
+        await listener.close()
+        return served
+
+    with runner_factory() as runner:
+        assert runner.run(run_scenario()) == 2 * burst
