Deliver a response that arrives before its request's body

Callers saw: a client that pauses a streamed upload (no length, or over 64 KiB) got 504 at its deadline although the backend server had answered 200 at once; where the daemon beside the server refused as not run, it got 504, which promises nothing, in place of 503 with Retry-After. Cause: peer_attempts sent the body and only then waited for the response. It looked at the response between two chunks, so an early one waited for the client's next bytes. Change: http/body_sending.py sends the body in a task and stops with the head of the response or with the cancelled request. It is the code that ServerClient had, and both senders use it now. A connection whose request is incomplete is not reusable, as before, so no other bytes follow the part of a body. `is_response_settled` has no user left.

--- a/bergamotshunt/backend/server_client.py
+++ b/bergamotshunt/backend/server_client.py
@@ -1,13 +1,11 @@
 """HTTP client of the backend server on this host, with a pool."""
 
-from asyncio import Task as AsyncioTask
-from asyncio import create_task
 from collections.abc import Callable
 from functools import partial
 from typing import Final
 
 from bergamotshunt.backend.slot_queue import Refusal, RefusedError
-from bergamotshunt.http.bodies import IncompleteBodyError
+from bergamotshunt.http.body_sending import send_body_until_response
 from bergamotshunt.http.client_connection import (
     ClientConnection,
     NotSentError,
@@ -128,17 +126,12 @@
             raise RefusedError(Refusal('server-down')) from error
         if body is not None:
             return await pending_response
-        sending = create_task(_send_body(connection, exchange))
-        try:
-            return await pending_response
-        finally:
-            _stop_sending(sending)
-
-
-def _stop_sending(sending: 'AsyncioTask[None]') -> None:
-    """Stop sending a body whose response has already arrived."""
-    if not sending.done():
-        sending.cancel()
+        return await send_body_until_response(
+            connection,
+            exchange.body,
+            pending_response,
+            chunked=head.length is None,
+        )
 
 
 async def _read_small_body(exchange: Exchange) -> bytes | None:
@@ -149,20 +142,6 @@
     return await exchange.body.read_up_to(MAX_BUFFERED_BODY_BYTES)
 
 
-async def _send_body(
-    connection: ClientConnection,
-    exchange: Exchange,
-) -> None:
-    chunked = exchange.head.length is None
-    try:
-        while chunk := await exchange.body.read():
-            await connection.write(chunk, chunked=chunked)
-    except IncompleteBodyError:
-        connection.close()
-        return
-    await connection.write(b'', chunked=chunked)
-
-
 def _belongs_to_request(request_id: str, head: ResponseHead) -> bool:
     """Return whether a response states the id of the request.
 
--- a/bergamotshunt/choice/peer_attempts.py
+++ b/bergamotshunt/choice/peer_attempts.py
@@ -6,6 +6,7 @@
 
 from bergamotshunt.choice.server_records import ServerRecord
 from bergamotshunt.http.bodies import IncompleteBodyError
+from bergamotshunt.http.body_sending import send_body_until_response
 from bergamotshunt.http.client_connection import (
     ClientConnection,
     NotSentError,
@@ -178,20 +179,11 @@
         whole=body is not None,
         bodyless=head.method == b'HEAD',
     )
-    if body is None:
-        await _send_body(connection, exchange, chunked=length is None)
-    return await pending_response
-
-
-async def _send_body(
-    connection: ClientConnection,
-    exchange: Exchange,
-    *,
-    chunked: bool,
-) -> None:
-    """Send a body in chunks until it ends or a response arrives."""
-    while not connection.is_response_settled:
-        chunk = await exchange.body.read()
-        await connection.write(chunk, chunked=chunked)
-        if not chunk:
-            return
+    if body is not None:
+        return await pending_response
+    return await send_body_until_response(
+        connection,
+        exchange.body,
+        pending_response,
+        chunked=length is None,
+    )
--- a/bergamotshunt/http/client_connection.py
+++ b/bergamotshunt/http/client_connection.py
@@ -228,11 +228,6 @@
         """Whether the connection is open."""
         return self._transport is not None and not self._transport.is_closing()
 
-    @property
-    def is_response_settled(self) -> bool:
-        """Whether the head of the response arrived or will not arrive."""
-        return self._response_waiter is None
-
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
