Receive the rest of a body whose response came early

Callers saw: a client that sends its whole body before it reads, and gets a long response before that, is stuck until the idle limits or its own deadline end it. Cause: once the response had started nobody read the request's body. Its buffer paused the connection, the client could not send on and did not read, and the response waited for it. Exchange drops the rest only when the response is finished. Change: send_body_until_response drops the rest of the body when it stops. No attempt needs it: a streamed request is sent once.

--- a/bergamotshunt/http/body_sending.py
+++ b/bergamotshunt/http/body_sending.py
@@ -16,7 +16,8 @@
     """Send a body in chunks until the head of the response arrives.
 
     The response may arrive before the body does: nothing more of the body is
-    sent then, and the connection can't be reused.
+    sent then, and the connection can't be reused. The rest of the body is
+    received and dropped, since its sender may read the response only then.
 
     Args:
         connection: Connection on which the head of the request was sent.
@@ -32,6 +33,7 @@
         return await pending_response
     finally:
         sending.cancel()
+        body.discard()
 
 
 async def _send_body(
--- a/bergamotshunt/tests/test_mesh_uploads.py
+++ b/bergamotshunt/tests/test_mesh_uploads.py
@@ -14,6 +14,9 @@
 FIRST_BYTES = 1000
 # Well below the timeout of the route, 3 s.
 EARLY_S = 1.0
+CHUNK_BYTES = 65_536
+LONG_BYTES = 256 * CHUNK_BYTES
+LONG_TIMEOUT_S = 5.0
 
 
 class Upload:
@@ -119,3 +122,45 @@
                 await mesh.wait_until(lambda: server.cancelled == 1)
 
     asyncio.run(run_scenario())
+
+
+def test_long_early_response_reaches_a_client_that_uploads_first() -> None:
+    """Guards against a client and a daemon that wait for each other to read.
+
+    The client reads nothing before its whole body is sent; the response is
+    longer than all buffers on the way.
+    """
+
+    async def run_scenario() -> None:
+        async with Mesh([respond_early_and_long]) as mesh:
+            address = mesh.hosts[0].settings.outbound
+            head = encode_request_head(
+                b'POST',
+                b'/book/1',
+                [(b'Host', HOST), (REQUEST_ID, b'r1')],
+                LONG_BYTES,
+            )
+            reader, writer = await asyncio.open_connection(
+                address.ip, address.port, limit=1024
+            )
+            writer.write(head + bytes(LONG_BYTES))
+            async with asyncio.timeout(LONG_TIMEOUT_S):
+                await writer.drain()
+                head = await reader.readuntil(b'\r\n\r\n')
+                content = await reader.readexactly(LONG_BYTES)
+            writer.close()
+            assert head.startswith(b'HTTP/1.1 200 ')
+            assert content == bytes(LONG_BYTES)
+
+    asyncio.run(run_scenario())
+
+
+async def respond_early_and_long(
+    server: MeshServer, exchange: Exchange
+) -> None:
+    """Respond with a long body without reading the request's."""
+    exchange.start(200, server.headers(exchange), LONG_BYTES)
+    for _ in range(LONG_BYTES // CHUNK_BYTES):
+        exchange.write(bytes(CHUNK_BYTES))
+        await exchange.drain()
+    exchange.finish()
