Close connections whose client makes no progress

Callers saw: connections that stayed open for good, with their handlers, when a client never read a streamed response, half-closed with unsent bytes, or never ended the body of an answered request; a drain then lasted as long as grace_s.

Cause: only an idle connection and a lingering close had a time limit. One with a request due, or one that the transport was closing, had none. Change: the timeout check of a connection records what it awaits from the client (unsent bytes, or the body of an answered request) and what has moved. Without any change for the idle timeout, or DRAIN_STALL_TIMEOUT_S while the listener closes, the connection ends as stalled. Bytes that the client has acknowledged count as progress, also while the system accepts no more. A handler that waits, with nothing unsent, awaits no client. The time starts anew when the listener begins to close.

test_stalled_client_is_closed failed before in all 12 cases (3 kinds of client, stopping or not, asyncio and uvloop) and passes now.

--- a/bergamotshunt/http/listeners.py
+++ b/bergamotshunt/http/listeners.py
@@ -89,10 +89,12 @@
     def close_after_responses(self) -> None:
         """Close each connection after its next response from now on."""
         self.closing = True
+        for connection in tuple(self.connections):
+            connection.check_timeouts()
 
     def close_idle(self) -> None:
         """Close idle connections now, and others once they are idle."""
-        self.closing = True
+        self.close_after_responses()
         self.closing_idle = True
         for connection in tuple(self.connections):
             connection.close_if_idle()
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -11,7 +11,12 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
-from bergamotshunt.decisions.connection_closing import stall_timeout_s
+from bergamotshunt.decisions.connection_closing import (
+    ClientProgress,
+    is_stalled,
+    stall_timeout_s,
+    update_progress,
+)
 from bergamotshunt.http.connection_ends import (
     CloseReason,
     ConnectionEnd,
@@ -20,7 +25,11 @@
 )
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.heads import Header, RequestHead
-from bergamotshunt.http.lingering_close import LingeringClose
+from bergamotshunt.http.lingering_close import (
+    CHECK_INTERVAL_S,
+    LingeringClose,
+)
+from bergamotshunt.http.send_queue import count_unacknowledged_bytes
 from bergamotshunt.http.sockets import format_address, set_socket_options
 from bergamotshunt.routing import ClientLimits
 
@@ -82,6 +91,11 @@
         self._lingering_close: LingeringClose | None = None
         self._end_recorder = EndRecorder()
         self._last_response_s = -inf
+        self._written_bytes = 0
+        self._received_body_bytes = 0
+        self._progress = ClientProgress(
+            is_awaited=False, moved_bytes=0, draining=False, since_s=0
+        )
 
     # Transport callbacks
 
@@ -92,7 +106,7 @@
         set_socket_options(transport)
         self._idle_since_s = self._listener.now_s()
         self._listener.connections.add(self)
-        self._check_timeouts()
+        self.check_timeouts()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject malformed and too large heads."""
@@ -189,6 +203,7 @@
         exchange = self._arriving
         if exchange is None:
             return
+        self._received_body_bytes += len(body)
         exchange.body.feed(body)
         if exchange.body.received_bytes > self._listener.limits.body_bytes:
             self._reject_exchange(exchange, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -238,6 +253,7 @@
         """Write bytes to the client."""
         if self._transport is not None and self._lingering_close is None:
             self._transport.write(chunk)
+            self._written_bytes += len(chunk)
 
     def flush(self) -> None:
         """Complete finished responses and write output of the next one."""
@@ -283,6 +299,21 @@
         elif self._arriving is None:
             self._close(CloseReason.SHUTDOWN)
 
+    def check_timeouts(self) -> None:
+        """Enforce the time limits now and at regular intervals."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._transport is None or self._lingering_close:
+            return
+        if self._is_client_stalled():
+            self.abort(CloseReason.STALLED)
+            return
+        wait_s = self._check_request_timeouts()
+        if not self._lingering_close:
+            self._timer = get_running_loop().call_later(
+                wait_s, self.check_timeouts
+            )
+
     # Internals
 
     def _flush_response(self, exchange: Exchange) -> bool:
@@ -414,22 +445,54 @@
             self._end_recorder.end(error, due_request_ids)
         )
 
-    def _check_timeouts(self) -> None:
+    def _is_client_stalled(self) -> bool:
+        """Update the progress of the client; return whether it has none."""
+        now_s = self._listener.now_s()
+        current = ClientProgress(
+            is_awaited=self._is_client_awaited(),
+            moved_bytes=self._count_moved_bytes(),
+            draining=self._listener.closing,
+            since_s=now_s,
+        )
+        self._progress = update_progress(self._progress, current)
+        return is_stalled(self._progress, now_s, self._stall_timeout_s())
+
+    def _is_client_awaited(self) -> bool:
+        """Whether unsent bytes, or a body that nobody reads, hold it open."""
+        if self._count_unsent_bytes():
+            return True
+        return bool(self._exchanges) and self._exchanges[0].finished
+
+    def _count_moved_bytes(self) -> int:
+        if self._transport is None:
+            return 0
+        unsent_bytes = self._count_unsent_bytes()
+        unacknowledged_bytes = count_unacknowledged_bytes(self._transport)
+        taken_bytes = self._written_bytes - unsent_bytes - unacknowledged_bytes
+        # A client may send its whole body before it reads the response.
+        return taken_bytes + self._received_body_bytes
+
+    def _check_request_timeouts(self) -> float:
+        """Reject a late head; close an idle connection.
+
+        Returns:
+            Time until the next check in seconds.
+        """
         limits = self._listener.limits
         now_s = self._listener.now_s()
+        wait_s = limits.head_timeout_ms / MS_PER_S
+        if self._listener.closing:
+            wait_s = min(wait_s, CHECK_INTERVAL_S)
         if self._arriving is not None and not self._arriving.head.method:
             due_s = self._head_start_s + limits.head_timeout_ms / MS_PER_S
             if now_s >= due_s:
                 self._reject(HTTPStatus.REQUEST_TIMEOUT)
-                return
+                return wait_s
         elif self._exchanges or self._arriving is not None:
-            due_s = now_s + limits.head_timeout_ms / MS_PER_S
+            return wait_s
         else:
             due_s = self._idle_since_s + limits.idle_timeout_ms / MS_PER_S
             if now_s >= due_s:
                 self._close(CloseReason.IDLE)
-                return
-        wait_s = min(due_s - now_s, limits.head_timeout_ms / MS_PER_S)
-        self._timer = get_running_loop().call_later(
-            wait_s, self._check_timeouts
-        )
+                return wait_s
+        return min(due_s - now_s, wait_s)
