Leave a complete response when its handler fails afterwards

Callers saw: a response that was finished but not sent yet was cut when its handler raised an exception after exchange.finish().

Cause: Listener._run calls exchange.fail, which aborts the connection for every response that was started, also for one that is complete. Change: Exchange.fail leaves a finished response. The error is still logged as listener:handler-failed.

--- a/bergamotshunt/http/exchanges.py
+++ b/bergamotshunt/http/exchanges.py
@@ -111,7 +111,12 @@
         self.finish()
 
     def fail(self, status: int, headers: list[Header]) -> None:
-        """Send an error response, or abort a response that was started."""
+        """Send an error response, or abort a response that was started.
+
+        A response that is finished is left as it is.
+        """
+        if self.finished:
+            return
         if self.started:
             self.abort()
         else:
--- a/bergamotshunt/tests/test_mesh_shutdown.py
+++ b/bergamotshunt/tests/test_mesh_shutdown.py
@@ -496,3 +496,33 @@
     assert end.fields['reason'] == 'shutdown'
     assert end.fields['request_id'] == 'r1'
     assert end.fields['unsent_bytes'] > 0
+
+
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_error_after_a_whole_response_does_not_cut_it(
+    runner_factory: Callable[[], asyncio.Runner],
+) -> None:
+    """Guards against a handler's late error that destroys a response."""
+
+    async def run_scenario() -> bytes:
+        async def serve(exchange: Exchange) -> None:
+            shrink_send_buffers(listener)
+            exchange.respond(200, [], LARGE_CONTENT)
+            raise RuntimeError('after the response')
+
+        listener = Listener(serve)
+        port = await listener.open('127.0.0.1', 0)
+        async with SlowClient('127.0.0.1', port) as client:
+            await client.send(REQUEST)
+            response = b''
+            while len(content_of(response)) < len(LARGE_CONTENT):
+                chunk = await client.read()
+                if not chunk:
+                    break
+                response += chunk
+        await listener.close()
+        return response
+
+    with runner_factory() as runner:
+        response = runner.run(run_scenario())
+    assert content_of(response) == LARGE_CONTENT
