Close the connection of a refusal with a long body

Callers saw: nothing with daemons of this version, whose refusals have no body. A process of another kind at a daemon's address whose refusal has over 64 KiB of body keeps its connection, and whatever it holds for it, until the connection ends by itself. Cause: peer_attempts._read returned a connection to the pool only with the whole body read, and handed it on only with a response that ran; a longer refusal did neither. Evidence: read by the review; test_long_refusal_closes_its_connection shows it with a listener that refuses with a 16 MiB body. Change: such a connection is closed.

--- a/bergamotshunt/choice/peer_attempts.py
+++ b/bergamotshunt/choice/peer_attempts.py
@@ -144,6 +144,8 @@
     if is_complete:
         server.pool.release(connection)
     if result.verdict is not Verdict.RAN:
+        if not is_complete:
+            connection.close()
         return AttemptOutcome(
             result.verdict,
             result.reason,
