Bound the log lines of lost responses

Operators saw: one line for each response that the backend server lost; a server that closes each connection wrote lines without a limit. Cause: `inbound:answer-lost` went to log_event; its neighbours use the bounded request log. Evidence: test_lines_of_lost_responses_are_bounded, 180 lost responses: 180 lines before, where 65 were allowed. Change: the line goes through RequestLog as a failed one; `server_answers_lost` still counts each.

--- a/bergamotshunt/backend/server_relay.py
+++ b/bergamotshunt/backend/server_relay.py
@@ -19,7 +19,6 @@
 )
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.heads import Header
-from bergamotshunt.log import log_event
 from bergamotshunt.peers.peer_calls import (
     RESULT_HEADER,
     SERVER_REFUSED,
@@ -134,8 +133,9 @@
         except (ResponseLostError, IncompleteBodyError, TimeoutError) as error:
             connection.close()
             self._metrics.increment('server_answers_lost')
-            log_event(
+            self._log.write(
                 'inbound:answer-lost',
+                failed=True,
                 request_id=call.request_id,
                 instance=call.instance,
                 detail=repr(error),
--- a/bergamotshunt/tests/test_mesh_explain.py
+++ b/bergamotshunt/tests/test_mesh_explain.py
@@ -20,7 +20,12 @@
     explain,
     parse_line,
 )
-from bergamotshunt.request_log import MAX_BURST_LINES, RequestLog
+from bergamotshunt.request_log import (
+    MAX_BURST_LINES,
+    REFILL_LINES_PER_S,
+    RequestLog,
+)
+from bergamotshunt.tests.faulty_server import FaultyServer, Turn
 from bergamotshunt.tests.mesh import Mesh
 from standins.mesh_server import drop_response, respond_error, respond_with_echo
 
@@ -146,6 +151,34 @@
     assert failed[0].fields['dropped_before'] > 400
 
 
+def test_lines_of_lost_responses_are_bounded() -> None:
+    """Guards against a log line for each response that a faulty server loses.
+
+    The server closes the connection before every response.
+    """
+    count = 3 * int(MAX_BURST_LINES)
+
+    async def run_scenario() -> None:
+        scripts = [close_without_response] * count
+        async with FaultyServer(*scripts) as server:
+            start_s = perf_counter()
+            for number in range(count):
+                await server.send(f'r{number}')
+            took_s = perf_counter() - start_s
+            assert server.count('server_answers_lost') == count
+            max_lines = MAX_BURST_LINES + REFILL_LINES_PER_S * took_s
+            assert 0 < len(lines) <= max_lines + 1
+
+    with captured_lines() as lines:
+        asyncio.run(run_scenario())
+    assert lines[0].event == 'inbound:answer-lost'
+    assert lines[0].fields['instance'] == 'i-0'
+
+
+async def close_without_response(turn: Turn) -> None:
+    turn.writer.transport.abort()
+
+
 def test_unread_log_pipe_does_not_block() -> None:
     """Guards against a daemon that blocks while nobody reads its log.
 
