Close the connection of a failure that was retried

Callers saw: after a response with status 5xx and over 64 KiB of body whose request was retried, the server's slot and the connection stayed taken until the garbage collector closed the connection, at the latest until the limit for the response's body, 300 s. Cause: RequestForwarder kept the failure to report and dropped it, with its connection, when another attempt succeeded, another failure replaced it, or the deadline passed. Change: a kept failure is closed in these three cases. The test's servers yield to the loop between chunks; one without that hung once when the connection ended.

--- a/bergamotshunt/ingress/request_forwarder.py
+++ b/bergamotshunt/ingress/request_forwarder.py
@@ -99,6 +99,9 @@
         choice = await self._wait_for_phase()
         try:
             return await self._run_attempts(body, choice)
+        except BaseException:
+            _close_unread(self._failure)
+            raise
         finally:
             self._cancel_attempts()
             if self._has_extra_reserved:
@@ -119,6 +122,7 @@
             choice = None
             outcome = await self._wait_for_outcome(body)
             if not outcome.failed:
+                _close_unread(self._failure)
                 return outcome
             self._keep_failure(outcome)
             if not self._may_continue(outcome, body):
@@ -296,6 +300,7 @@
         if outcome.response is not None or (
             kept.response is None and kept.verdict is Verdict.NOT_RUN
         ):
+            _close_unread(kept)
             self._failure = outcome
 
     def _may_continue(
--- a/bergamotshunt/tests/test_mesh_unread_responses.py
+++ b/bergamotshunt/tests/test_mesh_unread_responses.py
@@ -1,6 +1,7 @@
 """Tests of responses that a daemon does not read to their end."""
 
 import asyncio
+import gc
 
 from bergamotshunt.backend.loads import Load
 from bergamotshunt.choice.peer_attempts import send_attempt
@@ -16,7 +17,9 @@
     encode_result,
 )
 from bergamotshunt.routing import AnnouncedState, ServerEntry
+from bergamotshunt.tests.mesh import Mesh
 from bergamotshunt.verdicts import Verdict
+from standins.mesh_server import MeshServer
 
 IP = '127.0.0.1'
 CHUNK_BYTES = 65_536
@@ -37,6 +40,7 @@
         while True:
             exchange.write(bytes(CHUNK_BYTES))
             await exchange.drain()
+            await asyncio.sleep(0)
 
     async def run_scenario() -> None:
         listener = Listener(refuse_at_length)
@@ -59,3 +63,38 @@
         await listener.close()
 
     asyncio.run(run_scenario())
+
+
+def test_failure_that_is_retried_frees_its_server() -> None:
+    """Guards against a failure whose unread rest holds a slot and a connection.
+
+    One server responds with status 500 and a long body; the retry succeeds.
+    The garbage collector, which closes lost connections, is off.
+    """
+    failed_ids: list[bytes] = []
+
+    async def fail_once(server: MeshServer, exchange: Exchange) -> None:
+        if failed_ids:
+            exchange.respond(200, server.headers(exchange), b'done')
+            return
+        failed_ids.append(server.runs[-1])
+        exchange.start(500, server.headers(exchange), LONG_BYTES)
+        while True:
+            exchange.write(bytes(CHUNK_BYTES))
+            await exchange.drain()
+            await asyncio.sleep(0)
+
+    async def run_scenario() -> None:
+        async with Mesh([fail_once, fail_once]) as mesh:
+            response = await mesh.fetch(0, '/read/1', 'r1')
+            assert (response.status, response.content) == (200, b'done')
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await mesh.wait_until(
+                    lambda: sum(h.server.cancelled for h in mesh.hosts) == 1
+                )
+
+    gc.disable()
+    try:
+        asyncio.run(run_scenario())
+    finally:
+        gc.enable()
