Wait for the state that the test of the stop's log lines is about

Cause: test_log_states_what_a_stopping_daemon_has_not_sent failed once of 11 runs, beside load: not exactly one line of a connection that ended incomplete. The drain began when the server had run the request, so the response could still be on its way between the tasks. That a line of the inbound side was the second one is suspected and not proved. Change: the drain begins once the response is unsent at outbound alone; the same single line is expected, and all lines are shown when there are others.

--- a/bergamotshunt/tests/test_mesh_shutdown.py
+++ b/bergamotshunt/tests/test_mesh_shutdown.py
@@ -467,6 +467,14 @@
     assert content_of(response) == LARGE_CONTENT
 
 
+def is_unsent_at(mesh: Mesh, task_name: str) -> bool:
+    """Return whether a task has responses that are not sent yet."""
+    open_connections = listening_task(
+        mesh, task_name
+    )._listener.describe_connections()
+    return bool(open_connections.unsent_bytes or open_connections.responses_due)
+
+
 @pytest.mark.usefixtures('short_notice')
 def test_log_states_what_a_stopping_daemon_has_not_sent() -> None:
     """Guards against a cut response that the log does not explain."""
@@ -480,7 +488,12 @@
                 await mesh.wait_until(lambda: bool(task._listener.connections))
                 shrink_send_buffers(task._listener)
                 await client.send(client_request())
-                await mesh.wait_until(lambda: bool(mesh.runs()))
+                await mesh.wait_until(
+                    lambda: (
+                        is_unsent_at(mesh, 'outbound')
+                        and not is_unsent_at(mesh, 'inbound')
+                    )
+                )
                 assert not await kernel.drain(SHORT_DRAIN_S)
                 await mesh_daemon._log_drained(kernel, is_drained=False)
                 await kernel.stop()
@@ -490,9 +503,11 @@
         runner.run(run_scenario())
     (drained,) = [line for line in lines if line.event == 'daemon:drained']
     assert drained.fields['unsent_bytes'] > 0
-    (end,) = [
+    ends = [
         line for line in lines if line.event == 'connection:ended-incomplete'
     ]
+    assert len(ends) == 1, ends
+    (end,) = ends
     assert end.fields['task'] == 'outbound'
     assert end.fields['reason'] == 'shutdown'
     assert end.fields['request_id'] == 'r1'
