--- a/bench/mesh_clients.py
+++ b/bench/mesh_clients.py
@@ -17,7 +17,8 @@
 from typing import Any, Final
 
 from bench.mesh_checks import REQUEST_LIMIT_S
-from bench.mesh_fleet import MeshHost, SoakFleet
+from bench.mesh_fleet import SoakFleet
+from bench.mesh_host import MeshHost
 from bench.mesh_records import ClientRequest, Outcome, RequestRecord
 from bench.mesh_responses import ResponseReader, find_mismatch
 from bergamotshunt.http.heads import encode_request_head
--- a/bench/mesh_soak_cases.py
+++ b/bench/mesh_soak_cases.py
@@ -26,8 +26,35 @@
     cause: str = ''
 
 
-REGRESSION_CASES: Final[tuple[SoakCase, ...]] = ()
-CI_CASES: Final = (SoakCase(1, 20, 6),)
+UNSENT_BYTES: Final = (
+    'a stopping daemon waits for handlers and not for unsent bytes, so that '
+    'it cuts responses to slow readers'
+)
+REGRESSION_CASES: Final = (
+    SoakCase(1, 25, 8, UNSENT_BYTES),
+    SoakCase(
+        6,
+        25,
+        8,
+        'a refused request whose complete body exceeds 64 KiB leaves the '
+        "client's connection paused, so that its next request is never read",
+    ),
+    SoakCase(
+        9,
+        25,
+        8,
+        'a stopping daemon still takes requests of peers after its drain has '
+        'ended, and cuts them when it ends',
+    ),
+    SoakCase(
+        3,
+        25,
+        6,
+        'a second SIGTERM between the end of the event loop and the exit '
+        'ends the process with code -15',
+    ),
+)
+CI_CASES: Final = REGRESSION_CASES[:2]
 
 
 def read_known_red(path: Path) -> dict[int, frozenset[str]]:
