State when clients may return in the refusals of a daemon that stops

Cause: OutboundTask refused requests with 503 and no Retry-After when the daemon stops or has no configuration yet, so clients that retry at once met the same refusal again. Change: one function, ingress/refusals.py, writes every 503 of the client side with a jittered Retry-After: 1 to 2 s for a daemon that stops, 0.2 to 0.4 s for one without a configuration. Measured: test_refusal_of_a_stopping_daemon_states_when_to_return failed before with KeyError 'retry-after' and passes now.

--- a/bergamotshunt/ingress/request_proxy.py
+++ b/bergamotshunt/ingress/request_proxy.py
@@ -8,14 +8,16 @@
 from bergamotshunt.choice.peer_attempts import AttemptOutcome
 from bergamotshunt.http.bodies import IncompleteBodyError
 from bergamotshunt.http.connection_ends import CloseReason
-from bergamotshunt.http.heads import Header
-from bergamotshunt.ingress.forwarded_requests import MS_PER_S, ForwardedRequest
+from bergamotshunt.ingress.forwarded_requests import ForwardedRequest
+from bergamotshunt.ingress.refusals import (
+    MIN_RETRY_AFTER_MS,
+    respond_unavailable,
+)
 from bergamotshunt.ingress.request_forwarder import RequestForwarder
 from bergamotshunt.log import log_event
 from bergamotshunt.platform.requests import client_headers
 from bergamotshunt.verdicts import Verdict
 
-MIN_RETRY_AFTER_MS: Final = 50.0
 # Time for the last responses of servers when the drain of the daemon is over;
 # the kernel reserves twice as much.
 LAST_RESPONSES_S: Final = 0.1
@@ -83,7 +85,9 @@
         elif forwarder.may_have_run:
             request.exchange.respond(HTTPStatus.GATEWAY_TIMEOUT, [])
         else:
-            self._respond_unavailable(request, MIN_RETRY_AFTER_MS)
+            respond_unavailable(
+                request.exchange, MIN_RETRY_AFTER_MS, self._dispatcher.rng
+            )
 
     def _respond_to_failure(
         self,
@@ -91,25 +95,12 @@
         outcome: AttemptOutcome,
     ) -> None:
         if outcome.verdict is Verdict.NOT_RUN:
-            self._respond_unavailable(request, outcome.retry_after_ms)
+            respond_unavailable(
+                request.exchange, outcome.retry_after_ms, self._dispatcher.rng
+            )
         else:
             request.exchange.respond(HTTPStatus.BAD_GATEWAY, [])
 
-    def _respond_unavailable(
-        self,
-        request: ForwardedRequest,
-        retry_after_ms: float,
-    ) -> None:
-        # A random factor from 1 to 2 keeps refused clients from returning
-        # at the same moment.
-        wait_ms = max(
-            retry_after_ms, MIN_RETRY_AFTER_MS
-        ) * self._dispatcher.rng.uniform(1, 2)
-        headers: list[Header] = [
-            (b'Retry-After', b'%.3f' % (wait_ms / MS_PER_S)),
-        ]
-        request.exchange.respond(HTTPStatus.SERVICE_UNAVAILABLE, headers)
-
     async def _deliver(
         self,
         request: ForwardedRequest,
--- a/bergamotshunt/plugins/mesh/outbound.py
+++ b/bergamotshunt/plugins/mesh/outbound.py
@@ -11,6 +11,7 @@
 from bergamotshunt.decisions.route_matching import WeightedSplitter, match_route
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.ingress.forwarded_requests import ForwardedRequest
+from bergamotshunt.ingress.refusals import respond_unavailable
 from bergamotshunt.ingress.request_proxy import RequestProxy
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.mesh_messages import (
@@ -34,6 +35,10 @@
 # Within this time after the signal to stop, clients notice that the daemon is
 # not ready. Later requests could not end before the process is killed.
 ACCEPT_AFTER_STOP_S: Final = 2.8
+# A daemon that stops is back after its restart; one that has just started gets
+# its first configuration within moments.
+RETRY_AFTER_STOP_MS: Final = 1000.0
+RETRY_AFTER_START_MS: Final = 200.0
 REASONS_BY_STATUS: Final = {
     HTTPStatus.BAD_REQUEST: 'no host or no request id',
     HTTPStatus.SERVICE_UNAVAILABLE: 'no configuration yet, or stopping',
@@ -201,7 +206,14 @@
             reason=REASONS_BY_STATUS[status],
             version=self._routing.version if self._routing else 0,
         )
-        exchange.respond(status, [])
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+            respond_unavailable(
+                exchange,
+                RETRY_AFTER_STOP_MS if self._refusing else RETRY_AFTER_START_MS,
+                self.context.rng,
+            )
+        else:
+            exchange.respond(status, [])
 
 
 @MESH_PLUGINS.register('outbound')
--- a/bergamotshunt/tests/mesh.py
+++ b/bergamotshunt/tests/mesh.py
@@ -195,6 +195,10 @@
     def inbound_connections(self, number: int) -> set[ServerConnection]:
         return self._inbound(number)._listener.connections
 
+    def refuse_clients(self, number: int) -> None:
+        """Let a daemon refuse new requests, as at the end of its drain."""
+        outbound_of(self.hosts[number])._refusing = True
+
     def waiting(self, number: int) -> int:
         return self._inbound(number)._server.load().waiting
 
