Close a connection once its client has acknowledged the response

Cause: a lingering close waited 0.5 s from the moment at which the system had accepted all bytes. The rest of a response can stay in the send queue of the kernel for longer; when the client then sends its next request, the closed socket answers with a reset that destroys it. Change: LingeringClose counts undelivered bytes, the transport's buffer and the kernel's send queue together, as the check of stalled clients does. The time to linger starts when nothing is undelivered. When a client stops reading, a connection whose bytes the system has all accepted is closed in order instead of aborted. record_flush is not needed any more. Measured: test_late_bytes_of_a_slow_client_do_not_cut_its_response failed before on both event loops (the response of 409,600 bytes was cut) and passes now.

--- a/bergamotshunt/decisions/connection_closing.py
+++ b/bergamotshunt/decisions/connection_closing.py
@@ -23,18 +23,18 @@
 
 
 def closing_deadline_s(
-    unsent_bytes: int,
+    undelivered_bytes: int,
     progress_s: float,
     stall_s: float,
 ) -> float:
     """Return when a closing connection is closed without the peer's help.
 
     Args:
-        unsent_bytes: Response bytes that the system has not accepted yet.
-        progress_s: Time at which the system last accepted some, in seconds.
+        undelivered_bytes: Response bytes that the peer has not acknowledged.
+        progress_s: Time at which it last acknowledged some, in seconds.
         stall_s: How long the peer may take no bytes, in seconds.
     """
-    if unsent_bytes:
+    if undelivered_bytes:
         return progress_s + stall_s
     return progress_s + LINGER_TIMEOUT_S
 
--- a/bergamotshunt/http/lingering_close.py
+++ b/bergamotshunt/http/lingering_close.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from bergamotshunt.decisions.connection_closing import closing_deadline_s
+from bergamotshunt.http.send_queue import count_undelivered_bytes
 
 CHECK_INTERVAL_S: Final = 0.25
 
@@ -16,6 +17,8 @@
     The transport sends what is buffered and the end of the stream, while
     its protocol discards what the peer still sends. The connection closes
     when the peer closes its side, or when ``closing_deadline_s`` has passed.
+    Until the peer has acknowledged all bytes, closing would destroy them as
+    soon as it sends anything.
 
     Args:
         transport: Transport of the connection, which is not closing yet.
@@ -38,11 +41,11 @@
         self._stall_timeout_s = stall_timeout_s
         self._on_stall = on_stall
         self._timer: TimerHandle | None = None
-        self._unsent_bytes = transport.get_write_buffer_size()
+        self._undelivered_bytes = count_undelivered_bytes(transport)
         self._progress_s = sent_s
-        if self._unsent_bytes:
+        if self._undelivered_bytes:
             self._progress_s = get_running_loop().time()
-        # With a limit of 0, resume_writing reports that all is sent.
+        # With a limit of 0, resume_writing reports that nothing is unsent.
         transport.set_write_buffer_limits(0)
         with suppress(OSError):
             # The peer may have reset the connection already.
@@ -50,11 +53,6 @@
         transport.resume_reading()
         self._check()
 
-    def record_flush(self) -> None:
-        """Start to wait for the peer to close its side."""
-        self._unsent_bytes = 0
-        self._progress_s = get_running_loop().time()
-
     def cancel(self) -> None:
         """Stop the timer: the connection is closed."""
         if self._timer is not None:
@@ -62,19 +60,20 @@
 
     def _check(self) -> None:
         loop = get_running_loop()
-        unsent_bytes = self._transport.get_write_buffer_size()
-        if unsent_bytes < self._unsent_bytes:
+        undelivered_bytes = count_undelivered_bytes(self._transport)
+        if undelivered_bytes < self._undelivered_bytes:
             self._progress_s = loop.time()
-        self._unsent_bytes = unsent_bytes
+        self._undelivered_bytes = undelivered_bytes
         deadline_s = closing_deadline_s(
-            unsent_bytes, self._progress_s, self._stall_timeout_s()
+            undelivered_bytes, self._progress_s, self._stall_timeout_s()
         )
         wait_s = deadline_s - loop.time()
         if wait_s > 0:
             self._timer = loop.call_later(
                 min(wait_s, CHECK_INTERVAL_S), self._check
             )
-        elif unsent_bytes:
+        elif self._transport.get_write_buffer_size():
             self._on_stall()
         else:
+            # The system goes on to send what it has accepted.
             self._transport.close()
--- a/bergamotshunt/http/send_queue.py
+++ b/bergamotshunt/http/send_queue.py
@@ -1,7 +1,7 @@
-"""Bytes that the system has accepted and a peer has not acknowledged."""
+"""Bytes of a connection that its peer has not acknowledged."""
 
 import struct
-from asyncio import BaseTransport
+from asyncio import BaseTransport, WriteTransport
 from fcntl import ioctl
 from termios import TIOCOUTQ
 from typing import Final
@@ -9,8 +9,13 @@
 INT: Final = struct.Struct('i')
 
 
-def count_unacknowledged_bytes(transport: BaseTransport) -> int:
-    """Return the size of the system's send queue; 0 when it is unknown."""
+def count_undelivered_bytes(transport: WriteTransport) -> int:
+    """Return how many written bytes the peer has not acknowledged."""
+    return transport.get_write_buffer_size() + _size_send_queue(transport)
+
+
+def _size_send_queue(transport: BaseTransport) -> int:
+    """Return the bytes in the system's send queue; 0 when unknown."""
     tcp = transport.get_extra_info('socket')
     if tcp is None or tcp.fileno() < 0:
         return 0
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -29,7 +29,7 @@
     CHECK_INTERVAL_S,
     LingeringClose,
 )
-from bergamotshunt.http.send_queue import count_unacknowledged_bytes
+from bergamotshunt.http.send_queue import count_undelivered_bytes
 from bergamotshunt.http.sockets import format_address, set_socket_options
 from bergamotshunt.routing import ClientLimits
 
@@ -152,10 +152,7 @@
     def resume_writing(self) -> None:
         """Resume writing responses."""
         self._can_write.set()
-        unsent_bytes = self._count_unsent_bytes()
-        self._end_recorder.record_unsent(unsent_bytes)
-        if self._lingering_close is not None and not unsent_bytes:
-            self._lingering_close.record_flush()
+        self._end_recorder.record_unsent(self._count_unsent_bytes())
         self._listener.report_progress()
 
     # Parser callbacks
@@ -466,9 +463,8 @@
     def _count_moved_bytes(self) -> int:
         if self._transport is None:
             return 0
-        unsent_bytes = self._count_unsent_bytes()
-        unacknowledged_bytes = count_unacknowledged_bytes(self._transport)
-        taken_bytes = self._written_bytes - unsent_bytes - unacknowledged_bytes
+        undelivered_bytes = count_undelivered_bytes(self._transport)
+        taken_bytes = self._written_bytes - undelivered_bytes
         # A client may send its whole body before it reads the response.
         return taken_bytes + self._received_body_bytes
 
--- a/bergamotshunt/tests/test_mesh_closing.py
+++ b/bergamotshunt/tests/test_mesh_closing.py
@@ -1,16 +1,64 @@
 """Tests of connections that close while their peer still uses them."""
 
 import asyncio
+from collections.abc import Callable
 
+import pytest
+
+from bergamotshunt.daemon import create_runner
 from bergamotshunt.http.exchanges import Exchange
+from bergamotshunt.http.listeners import Listener
 from bergamotshunt.tests.mesh import Mesh
+from bergamotshunt.tests.slow_client import SlowClient
 from standins.mesh_server import MeshServer
 
+RUNNERS = (asyncio.Runner, create_runner)
+REQUEST = b'GET /a HTTP/1.1\r\nHost: x\r\n\r\n'
+CONTENT = bytes(range(256)) * 1600
+BYTES_BEFORE_LATE_REQUEST = len(CONTENT) // 2
+
 
 async def respond_at_once(server: MeshServer, exchange: Exchange) -> None:
     exchange.respond(200, server.headers(exchange), b'done')
 
 
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_late_bytes_of_a_slow_client_do_not_cut_its_response(
+    runner_factory: Callable[[], asyncio.Runner],
+) -> None:
+    """Guards against a reset that destroys a response on its way.
+
+    The system has accepted all bytes of the response, which the client still
+    reads when it sends its next request. Closing before that resets the
+    connection.
+    """
+    responded = asyncio.Event()
+
+    async def respond(exchange: Exchange) -> None:
+        exchange.respond(200, [], CONTENT)
+        responded.set()
+
+    async def run_scenario() -> bytes:
+        listener = Listener(respond)
+        port = await listener.open('127.0.0.1', 0)
+        async with SlowClient('127.0.0.1', port) as client:
+            await client.send(REQUEST)
+            await responded.wait()
+            listener.close_idle()
+            content = b''
+            while len(content) < BYTES_BEFORE_LATE_REQUEST:
+                content += await client.read()
+                await asyncio.sleep(0.02)
+            await client.send(REQUEST)
+            content += await client.read_until_closed()
+        await listener.close()
+        return content
+
+    with runner_factory() as runner:
+        response = runner.run(run_scenario())
+    assert response.partition(b'\r\n\r\n')[2] == CONTENT
+
+
 def test_refusal_of_a_stopping_daemon_states_when_to_return() -> None:
     """Guards against clients that return at once to a daemon that stops."""
 
