Refuse a peer's request that crosses the close of its connection

Cause: when a daemon closed an idle connection of a peer while the peer sent a request on it, the request was discarded and the peer saw the end of the connection. It could not tell that from a lost response, so an unsafe request failed with 502 although no server had run it. Change: an idle connection between daemons sends a refusal, not run, before it closes (Listener.create_close_notice). A request that crosses takes it as its response and goes to another server; a peer without a request sees bytes that belong to none and closes. Nothing is run on a connection behind the notice, so the refusal is true. Clients get no notice.

--- a/bergamotshunt/http/listeners.py
+++ b/bergamotshunt/http/listeners.py
@@ -22,12 +22,18 @@
 
 Handler = Callable[[Exchange], Coroutine[Any, Any, None]]
 EndObserver = Callable[[ConnectionEnd], None]
+CloseNoticeFactory = Callable[[], bytes]
 
 
 def ignore_end(_end: ConnectionEnd) -> None:
     """Ignore the end of a connection."""
 
 
+def create_no_notice() -> bytes:
+    """Return nothing: idle connections close without a notice."""
+    return b''
+
+
 class Listener:
     """Accepts connections and runs a handler for each request.
 
@@ -35,6 +41,9 @@
         handler: Handles one exchange.
         limits: Limits for clients; may be replaced at any time.
         on_connection_end: Called with the end of each connection.
+        create_close_notice: Returns a response that idle connections send
+            before they close. A request that crosses the close takes it as
+            its own response; it must state that the request did not run.
 
     Attributes:
         connections: All open connections.
@@ -48,10 +57,12 @@
         handler: Handler,
         limits: ClientLimits = DEFAULT_LIMITS,
         on_connection_end: EndObserver = ignore_end,
+        create_close_notice: CloseNoticeFactory = create_no_notice,
     ) -> None:
         """Create a listener without a socket."""
         self.limits = limits
         self.on_connection_end = on_connection_end
+        self.create_close_notice = create_close_notice
         self.connections: set[ServerConnection] = set()
         self.closing = False
         self.closing_idle = False
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -48,6 +48,8 @@
         closing: Whether connections close after their next response.
         closing_idle: Whether idle connections close at once.
         on_connection_end: Called with the end of each connection.
+        create_close_notice: Returns what an idle connection sends before it
+            closes.
     """
 
     limits: ClientLimits
@@ -55,6 +57,7 @@
     closing: bool
     closing_idle: bool
     on_connection_end: 'Callable[[ConnectionEnd], None]'
+    create_close_notice: 'Callable[[], bytes]'
 
     def now_s(self) -> float:
         """Return the loop time in seconds."""
@@ -398,6 +401,8 @@
             return
         if self._lingering_close is not None:
             return
+        if reason is not CloseReason.LAST_RESPONSE:
+            self._send_close_notice()
         self._end_recorder.record_close(reason, self._count_unsent_bytes())
         if self._timer is not None:
             self._timer.cancel()
@@ -408,6 +413,12 @@
             lambda: self.abort(CloseReason.STALLED),
         )
 
+    def _send_close_notice(self) -> None:
+        notice = self._listener.create_close_notice()
+        if notice:
+            self.transmit(notice)
+            self._last_response_s = self._listener.now_s()
+
     def _stall_timeout_s(self) -> float:
         listener = self._listener
         return stall_timeout_s(
--- a/bergamotshunt/mesh_task.py
+++ b/bergamotshunt/mesh_task.py
@@ -87,7 +87,9 @@
         """Create the task; ``open`` binds the socket."""
         super().__init__(context)
         self._listener = Listener(
-            self.serve, on_connection_end=self._record_connection_end
+            self.serve,
+            on_connection_end=self._record_connection_end,
+            create_close_notice=self.create_close_notice,
         )
         self._address = address
         self._log = RequestLog(context.clock)
@@ -114,6 +116,10 @@
         """Serve one request; subclasses implement this."""
         raise NotImplementedError
 
+    def create_close_notice(self) -> bytes:
+        """Return what an idle connection sends before it closes."""
+        return b''
+
     def describe_connections(
         self, _message: DescribeConnections
     ) -> OpenConnections:
--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -168,6 +168,13 @@
             )
             self._relay.refuse(exchange, error.refusal)
 
+    def create_close_notice(self) -> bytes:
+        """Return a refusal for a request that crosses the close.
+
+        Without it, the peer could not tell that the request did not run.
+        """
+        return self._relay.encode_refusal(Refusal('connection-closed'))
+
     def _show_configuration(self, exchange: Exchange) -> None:
         if self._routing is None:
             exchange.respond(HTTPStatus.NOT_FOUND, [])
--- a/bergamotshunt/tests/test_mesh_closing.py
+++ b/bergamotshunt/tests/test_mesh_closing.py
@@ -2,12 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
 from bergamotshunt.daemon import create_runner
+from bergamotshunt.http.client_connection import ClientConnection, Response
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.listeners import Listener
+from bergamotshunt.peers.peer_calls import CALL_HEADER
 from bergamotshunt.tests.mesh import Mesh
 from bergamotshunt.tests.slow_client import SlowClient
 from standins.mesh_server import MeshServer
@@ -59,6 +62,43 @@
     assert response.partition(b'\r\n\r\n')[2] == CONTENT
 
 
+def test_unsafe_request_that_crosses_a_close_is_sent_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a lost request that no server has run.
+
+    A daemon closes an idle connection of a peer at the moment at which the
+    peer sends an unsafe request on it.
+    """
+    closing: list[Callable[[], None]] = []
+    send_request = ClientConnection.send_request
+
+    def close_and_send(
+        connection: ClientConnection, head: bytes, *rest: Any, **options: Any
+    ) -> 'asyncio.Future[Response]':
+        # The client of this test uses the same class.
+        while CALL_HEADER in head and closing:
+            closing.pop()()
+        return send_request(connection, head, *rest, **options)
+
+    async def run_scenario() -> None:
+        async with Mesh([respond_at_once, respond_at_once]) as mesh:
+            for number in range(8):
+                await mesh.fetch(0, '/read/1', f'r{number}')
+            closing.extend(
+                connection.close_if_idle
+                for host in range(2)
+                for connection in mesh.inbound_connections(host)
+            )
+            response = await mesh.fetch(0, '/book/1', 'booking', b'x')
+            assert not closing
+            assert (response.status, response.content) == (200, b'done')
+            assert mesh.runs().count(b'booking') == 1
+
+    monkeypatch.setattr(ClientConnection, 'send_request', close_and_send)
+    asyncio.run(run_scenario())
+
+
 def test_refusal_of_a_stopping_daemon_states_when_to_return() -> None:
     """Guards against clients that return at once to a daemon that stops."""
 
