Keep the weights of a split over few requests of many daemons

Cause: the smooth round robin started with random credits, and the largest credit won, so a small part was chosen too rarely by the first requests of each daemon. With many daemons, few requests each and a new start with every configuration, its share stayed low. Change: WeightedSplitter takes positions that advance by the golden ratio from a random start, so every single request has the right probability and the shares stay close to the weights. Services without weight get nothing.

--- a/bergamotshunt/decisions/route_matching.py
+++ b/bergamotshunt/decisions/route_matching.py
@@ -1,9 +1,13 @@
 """Selects the route and the service of a request."""
 
+from math import fmod
 from random import Random
+from typing import Final
 
 from bergamotshunt.routing import Route, Routing, WeightedService
 
+GOLDEN_RATIO: Final = 0.6180339887498949
+
 
 def match_route(routing: Routing, host: str, path: str) -> Route | None:
     """Return the route with the longest prefix of the path, or None."""
@@ -18,33 +22,39 @@
 class WeightedSplitter:
     """Distributes requests of a split route to its services by weight.
 
-    Smooth weighted round robin keeps the shares close to the weights even
-    over a few requests. It starts at a random position, so that daemons do
-    not all choose the same service first.
+    Each request takes a position between 0 and 1, and the service whose part
+    of the cumulated weights holds it. Positions advance by the golden ratio,
+    which keeps the shares close to the weights over a few requests; the
+    first one is random, so that each request of each daemon has the right
+    probability, however few they are.
     """
 
     def __init__(self, rng: Random) -> None:
         """Create a splitter without state."""
         self._rng = rng
-        self._credits_by_parts: dict[
-            tuple[WeightedService, ...], list[float]
-        ] = {}
+        self._position_by_parts: dict[tuple[WeightedService, ...], float] = {}
 
     def choose(self, parts: tuple[WeightedService, ...]) -> str:
         """Return the service of the next request."""
         if len(parts) == 1:
             return parts[0].service
-        total = sum(part.weight for part in parts)
-        credits = self._credits_by_parts.get(parts)
-        if credits is None:
-            credits = [self._rng.random() * total for _ in parts]
-            self._credits_by_parts[parts] = credits
-        for position, part in enumerate(parts):
-            credits[position] += part.weight
-        best = max(range(len(parts)), key=credits.__getitem__)
-        credits[best] -= total
-        return parts[best].service
+        position = self._position_by_parts.get(parts)
+        if position is None:
+            position = self._rng.random()
+        self._position_by_parts[parts] = fmod(position + GOLDEN_RATIO, 1)
+        return _service_at(parts, position)
 
     def reset(self) -> None:
         """Drop the state of all splits, after a change of configuration."""
-        self._credits_by_parts.clear()
+        self._position_by_parts.clear()
+
+
+def _service_at(parts: tuple[WeightedService, ...], position: float) -> str:
+    """Return the service whose part of the weights holds a position."""
+    weighted = [part for part in parts if part.weight > 0] or parts
+    rest = position * sum(part.weight for part in weighted)
+    for part in weighted:
+        rest -= part.weight
+        if rest < 0:
+            return part.service
+    return weighted[-1].service
--- a/bergamotshunt/tests/test_mesh_decisions.py
+++ b/bergamotshunt/tests/test_mesh_decisions.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -253,6 +254,41 @@
         assert abs(share - part.weight / sum(weights)) < 0.02
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_few_requests_of_many_daemons_keep_the_weights(seed: int) -> None:
+    """Guards against a small part of a split that gets too few requests.
+
+    Each of many daemons has only a few requests for the route, and starts
+    anew with each version of the configuration.
+    """
+    parts = (WeightedService('large', 90), WeightedService('small', 10))
+    daemons, requests = 5000, 2
+    splitters = [
+        WeightedSplitter(Random(seed * daemons + number))
+        for number in range(daemons)
+    ]
+    chosen = [
+        splitter.choose(parts)
+        for splitter in splitters
+        for _ in range(requests)
+    ]
+    deviation = (0.9 * 0.1 / len(chosen)) ** 0.5
+    share = chosen.count('small') / len(chosen)
+    assert abs(share - 0.1) < 2 * deviation
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_service_without_weight_gets_no_request(seed: int) -> None:
+    """Guards against requests to a service that was taken out of a split."""
+    parts = (
+        WeightedService('first', 0),
+        WeightedService('second', 1),
+        WeightedService('third', 0),
+    )
+    splitter = WeightedSplitter(Random(seed))
+    assert {splitter.choose(parts) for _ in range(10_000)} == {'second'}
+
+
 def test_request_waits_for_the_next_phase() -> None:
     """Guards against runs that start in a normal and end in a slow phase.
 
