Send load reports to a bounded subset of daemons, and far ones less often

Change: a daemon uses up to 12 servers of a service in its own zone and at least 2 in others, 8 together, chosen by rendezvous hashing; when none of them accepts requests, it uses all. A subscription states the shortest interval of reports, 100 ms for other zones; urgent reports go out at once. Ruled out: a random sample in each round, which left most servers without a report at any time.

--- a/bergamotshunt/backend/loads.py
+++ b/bergamotshunt/backend/loads.py
@@ -73,10 +73,13 @@
     Attributes:
         ip: Address to send the reports to.
         version: Version of the configuration in force at the sender.
+        interval_ms: Shortest time between two reports of an ordinary change,
+            in milliseconds.
     """
 
     ip: str
     version: int
+    interval_ms: int = 0
 
 
 class LoadDatagram(NamedTuple):
@@ -88,7 +91,10 @@
 
 def encode_load_datagram(datagram: LoadDatagram) -> bytes:
     """Encode a load datagram as MessagePack."""
-    return encode(datagram)
+    report = datagram.report
+    if report is not None:
+        report = report._replace(load=shorten(report.load))
+    return encode(datagram._replace(report=report))
 
 
 def decode_load_datagram(content: bytes) -> LoadDatagram:
@@ -142,9 +148,31 @@
 def _check_subscription(subscription: Subscription) -> Subscription:
     check_ipv4('address of the subscriber', subscription.ip)
     check_integer('version', subscription.version)
+    check_integer('interval', subscription.interval_ms)
     return subscription
 
 
+def shorten(load: Load) -> Load:
+    """Round times to milliseconds: integers take fewer bytes to send."""
+    outlook = load.outlook
+    return load._replace(
+        pace=_shorten_factor(load.pace),
+        work_ms=round(load.work_ms),
+        cold_ms=round(load.cold_ms),
+        outlook=PaceForecast(
+            phase_left_ms=round(outlook.phase_left_ms),
+            phase_ms=round(outlook.phase_ms),
+            slow_share=_shorten_factor(outlook.slow_share),
+            normal_pace=_shorten_factor(outlook.normal_pace),
+            slow_pace=_shorten_factor(outlook.slow_pace),
+        ),
+    )
+
+
+def _shorten_factor(factor: float) -> float:
+    return int(factor) if factor == int(factor) else factor
+
+
 def is_urgent_change(load: Load, reported: Load) -> bool:
     """Return whether peers need to know of a changed load at once."""
     if load.serving != reported.serving:
--- a/bergamotshunt/choice/server_records.py
+++ b/bergamotshunt/choice/server_records.py
@@ -7,6 +7,7 @@
 
 from bergamotshunt.backend.loads import Load
 from bergamotshunt.decisions.server_choice import ServerView
+from bergamotshunt.decisions.server_subsets import choose_subsets
 from bergamotshunt.decisions.work_meter import WorkMeter, effective_pace
 from bergamotshunt.http.client_pool import ClientPool
 from bergamotshunt.routing import AnnouncedState, ServerEntry
@@ -135,14 +136,17 @@
     """All backend servers that a daemon may send requests to.
 
     Args:
+        ip: Address of the daemon.
         zone: Availability zone of the daemon.
     """
 
-    def __init__(self, zone: str) -> None:
+    def __init__(self, ip: str, zone: str) -> None:
         """Create records without servers."""
         self.by_instance: dict[str, ServerRecord] = {}
+        self._ip = ip
         self._zone = zone
         self._by_service: dict[str, list[ServerRecord]] = {}
+        self._subset_by_service: dict[str, list[ServerRecord]] = {}
 
     def replace(self, servers_by_instance: dict[str, ServerEntry]) -> None:
         """Replace the known servers.
@@ -164,6 +168,13 @@
             self._by_service.setdefault(record.entry.service, []).append(
                 record,
             )
+        subsets = choose_subsets(
+            servers_by_instance.values(), self._ip, self._zone
+        )
+        self._subset_by_service = {
+            service: [self.by_instance[server.instance] for server in servers]
+            for service, servers in subsets.items()
+        }
 
     def views(
         self,
@@ -171,12 +182,24 @@
         tried: Collection[str],
         now_s: float,
     ) -> list[ServerView]:
-        """Return the usable servers of a service that were not tried."""
-        return [
-            record.view(now_s)
-            for record in self._by_service.get(service, ())
-            if record.entry.instance not in tried and record.is_usable(now_s)
-        ]
+        """Return the usable servers of a service that were not tried.
+
+        These are the servers of this daemon's subset, or all of them when
+        none of the subset accepts requests.
+        """
+        for records in (
+            self._subset_by_service.get(service, ()),
+            self._by_service.get(service, ()),
+        ):
+            views = [
+                record.view(now_s)
+                for record in records
+                if record.entry.instance not in tried
+                and record.is_usable(now_s)
+            ]
+            if any(view.load.serving for view in views):
+                break
+        return views
 
     def describe(self, now_s: float) -> list[dict[str, Any]]:
         """Describe the state of each server, with the age of its report."""
--- a/bergamotshunt/peers/peer_calls.py
+++ b/bergamotshunt/peers/peer_calls.py
@@ -4,7 +4,7 @@
 
 from msgspec.json import encode
 
-from bergamotshunt.backend.loads import Load, check_load
+from bergamotshunt.backend.loads import Load, check_load, shorten
 from bergamotshunt.decoding import (
     MalformedInputError,
     convert_malformed,
@@ -94,8 +94,18 @@
 
 
 def encode_result(result: PeerResult) -> bytes:
-    """Encode the metadata of a response as JSON for its header."""
-    return encode(result)
+    """Encode the metadata of a response as JSON for its header.
+
+    Times are rounded, as most responses go to another availability zone.
+    """
+    return encode(
+        result._replace(
+            load=shorten(result.load),
+            took_ms=round(result.took_ms, 1),
+            work_ms=round(result.work_ms, 1),
+            retry_after_ms=round(result.retry_after_ms, 1),
+        )
+    )
 
 
 def decode_result(content: bytes) -> PeerResult | None:
--- a/bergamotshunt/plugins/mesh/loads.py
+++ b/bergamotshunt/plugins/mesh/loads.py
@@ -1,7 +1,8 @@
 """Loads: load reports between daemons, sent as datagrams to subscribers."""
 
 from asyncio import DatagramProtocol, DatagramTransport, get_running_loop, sleep
-from typing import Any, Final
+from math import inf
+from typing import Any, Final, NamedTuple
 
 from bergamotshunt.backend.loads import (
     InstanceLoadReport,
@@ -11,6 +12,7 @@
     encode_load_datagram,
     is_unchanged,
 )
+from bergamotshunt.decisions.server_subsets import choose_subsets
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.mesh_messages import (
     LoadReceived,
@@ -29,18 +31,33 @@
 SUBSCRIBE_INTERVAL_S: Final = 1.0
 # A subscription survives the loss of two renewals in a row.
 SUBSCRIPTION_LIFETIME_S: Final = 3.5
-# Subscriptions sent in one round; if there are more servers, to a random
-# sample of them.
-MAX_SUBSCRIPTIONS: Final = 96
 # Report datagrams that one daemon sends per second, beside urgent ones.
 MAX_DATAGRAMS_PER_S: Final = 300.0
 MIN_REPORT_INTERVAL_S: Final = 0.04
+# Shortest interval of reports to daemons of other availability zones, beside
+# urgent ones: traffic between zones is dear.
+FAR_REPORT_INTERVAL_MS: Final = 100
+MS_PER_S: Final = 1000
 # Interval at which an unchanged load is reported.
 MAX_REPORT_INTERVAL_S: Final = 0.15
 # Interval at which a report includes the entry of the server.
 ENTRY_INTERVAL_S: Final = 1.0
 
 
+class Subscriber(NamedTuple):
+    """A daemon that receives load reports.
+
+    Attributes:
+        expiry_s: Monotonic time at which its subscription expires.
+        interval_s: Shortest time between two reports, in seconds.
+        sent_s: Monotonic time of the last report.
+    """
+
+    expiry_s: float
+    interval_s: float
+    sent_s: float = -inf
+
+
 class LoadsTask(MeshTask):
     """Owns the socket for load reports and the subscriptions.
 
@@ -57,9 +74,10 @@
         self._transport: DatagramTransport | None = None
         self._rejected = RejectedInputLog(context.clock, self.metrics)
         self._servers_by_instance: dict[str, ServerEntry] = {}
-        # Services that clients here use, with the time of their first use.
-        self._used_services: dict[str, float] = {}
-        self._expiry_s_by_ip: dict[str, float] = {}
+        self._used_services: set[str] = set()
+        # Servers whose load this daemon needs to know.
+        self._subset_by_ip: dict[str, ServerEntry] = {}
+        self._subscribers_by_ip: dict[str, Subscriber] = {}
         self._latest_report: InstanceLoadReport | None = None
         self._sent_report: InstanceLoadReport | None = None
         self._sent_s: float = 0
@@ -94,19 +112,19 @@
     @handlers.on(ServersChanged)
     def update_servers(self, message: ServersChanged) -> None:
         """Subscribe to new servers at once."""
-        known = self._servers_by_instance
         self._servers_by_instance = message.servers_by_instance
-        for instance, entry in message.servers_by_instance.items():
-            if instance not in known and self._is_wanted(entry):
-                self._subscribe(entry.ip)
+        known = self._subset_by_ip
+        self._update_subset()
+        for ip, entry in self._subset_by_ip.items():
+            if ip not in known:
+                self._subscribe(entry)
 
     @handlers.on(ServiceUsed)
     def handle_service_used(self, message: ServiceUsed) -> None:
         """Subscribe to the servers of a service."""
-        is_new = message.service not in self._used_services
-        self._used_services[message.service] = self.context.clock()
-        if is_new:
-            self._subscribe_all()
+        self._used_services.add(message.service)
+        self._update_subset()
+        self._subscribe_all()
 
     @handlers.on(OwnServerChanged)
     def update_own_entry(self, message: OwnServerChanged) -> None:
@@ -123,7 +141,7 @@
         self._latest_report = report
         self.bus.publish(LoadReceived(report))
         if message.urgent:
-            self._send_report()
+            self._send_report(urgent=True)
 
     def receive(self, content: bytes, ip: str) -> None:
         """Process a datagram of another daemon; log it when it is unusable."""
@@ -142,11 +160,14 @@
             self.bus.publish(ServerEntryReceived(report.entry))
 
     def _handle_subscription(self, subscription: Subscription, ip: str) -> None:
-        is_new = subscription.ip not in self._expiry_s_by_ip
-        expiry_s = self.context.clock() + SUBSCRIPTION_LIFETIME_S
-        self._expiry_s_by_ip[subscription.ip] = expiry_s
+        known = self._subscribers_by_ip.get(subscription.ip)
+        self._subscribers_by_ip[subscription.ip] = Subscriber(
+            self.context.clock() + SUBSCRIPTION_LIFETIME_S,
+            subscription.interval_ms / MS_PER_S,
+            known.sent_s if known else -inf,
+        )
         self._compare_version(subscription.version, ip)
-        if is_new and self._latest_report is not None:
+        if known is None and self._latest_report is not None:
             self._send(
                 LoadDatagram(report=self._latest_report), subscription.ip
             )
@@ -155,8 +176,19 @@
         if version > self._version:
             self.bus.publish(PeerVersionReceived(version, ip))
 
-    def _is_wanted(self, entry: ServerEntry) -> bool:
-        return entry.service in self._used_services and entry.ip != self.mesh.ip
+    def _update_subset(self) -> None:
+        used = [
+            entry
+            for entry in self._servers_by_instance.values()
+            if entry.service in self._used_services
+        ]
+        subsets = choose_subsets(used, self.mesh.ip, self.mesh.zone)
+        self._subset_by_ip = {
+            entry.ip: entry
+            for entries in subsets.values()
+            for entry in entries
+            if entry.ip != self.mesh.ip
+        }
 
     async def _run_subscriptions(self) -> None:
         while True:
@@ -164,28 +196,26 @@
             await sleep(SUBSCRIBE_INTERVAL_S)
 
     def _subscribe_all(self) -> None:
-        wanted = [
-            entry.ip
-            for entry in self._servers_by_instance.values()
-            if self._is_wanted(entry)
-        ]
-        if len(wanted) > MAX_SUBSCRIPTIONS:
-            wanted = self.context.rng.sample(wanted, MAX_SUBSCRIPTIONS)
-        for ip in wanted:
-            self._subscribe(ip)
-
-    def _subscribe(self, ip: str) -> None:
-        subscription = Subscription(self.mesh.ip, self._version)
-        self._send(LoadDatagram(subscription=subscription), ip)
+        for entry in self._subset_by_ip.values():
+            self._subscribe(entry)
+
+    def _subscribe(self, entry: ServerEntry) -> None:
+        is_near = entry.zone == self.mesh.zone
+        subscription = Subscription(
+            self.mesh.ip,
+            self._version,
+            0 if is_near else FAR_REPORT_INTERVAL_MS,
+        )
+        self._send(LoadDatagram(subscription=subscription), entry.ip)
 
     async def _run_reports(self) -> None:
         while True:
-            count = len(self._expiry_s_by_ip)
+            count = len(self._subscribers_by_ip)
             await sleep(max(MIN_REPORT_INTERVAL_S, count / MAX_DATAGRAMS_PER_S))
             now_s = self.context.clock()
             is_due = now_s - self._sent_s >= MAX_REPORT_INTERVAL_S
             if is_due or self._has_unreported_load():
-                self._send_report()
+                self._send_report(urgent=False)
 
     def _has_unreported_load(self) -> bool:
         if self._latest_report is None or self._sent_report is None:
@@ -194,7 +224,12 @@
             self._latest_report.load, self._sent_report.load
         )
 
-    def _send_report(self) -> None:
+    def _send_report(self, *, urgent: bool) -> None:
+        """Send the latest report to the subscribers that are due.
+
+        Args:
+            urgent: Whether all subscribers are due.
+        """
         if self._latest_report is None:
             return
         now_s = self.context.clock()
@@ -205,13 +240,15 @@
             self._entry_sent_s = now_s
             report = report._replace(entry=self._entry)
         content = encode_load_datagram(LoadDatagram(report=report))
-        self._expiry_s_by_ip = {
-            ip: expiry_s
-            for ip, expiry_s in self._expiry_s_by_ip.items()
-            if expiry_s >= now_s
+        self._subscribers_by_ip = {
+            ip: subscriber
+            for ip, subscriber in self._subscribers_by_ip.items()
+            if subscriber.expiry_s >= now_s
         }
-        for ip in self._expiry_s_by_ip:
-            self._send_bytes(content, ip)
+        for ip, subscriber in self._subscribers_by_ip.items():
+            if urgent or now_s >= subscriber.sent_s + subscriber.interval_s:
+                self._subscribers_by_ip[ip] = subscriber._replace(sent_s=now_s)
+                self._send_bytes(content, ip)
 
     def _send(self, datagram: LoadDatagram, ip: str) -> None:
         self._send_bytes(encode_load_datagram(datagram), ip)
--- a/bergamotshunt/plugins/mesh/outbound.py
+++ b/bergamotshunt/plugins/mesh/outbound.py
@@ -56,7 +56,7 @@
         """Create the task of a daemon without a configuration."""
         super().__init__(context, settings_of(context).outbound)
         bounds = self.mesh.bounds
-        self._records = ServerRecords(self.mesh.zone)
+        self._records = ServerRecords(self.mesh.ip, self.mesh.zone)
         self._splitter = WeightedSplitter(context.rng)
         self._routing: Routing | None = None
         self._refusing = False
--- a/bergamotshunt/tests/test_mesh_learning.py
+++ b/bergamotshunt/tests/test_mesh_learning.py
@@ -86,7 +86,7 @@
 
     async def scenario() -> None:
         dispatcher = Dispatcher(
-            ServerRecords('zone-1'),
+            ServerRecords('10.0.0.1', 'zone-1'),
             ExtraAttemptBound(0.2, 10, 10),
             Random(1),
             lambda: 1,
--- a/bergamotshunt/tests/test_mesh_odd_entries.py
+++ b/bergamotshunt/tests/test_mesh_odd_entries.py
@@ -171,7 +171,7 @@
 
     The entry is valid but wrong, and a later one of the same server is right.
     """
-    records = ServerRecords('zone-1')
+    records = ServerRecords('10.0.0.1', 'zone-1')
     odd = server_entry(OTHER_IP, inbound_port=8001)
     for entry in (odd, server_entry(OTHER_IP, sequence=2)):
         records.replace({entry.instance: entry})
