Follow one reader of the store instead of reading it at each daemon

Change: one daemon, the root, watches the store. In each zone a reader follows it, and the others follow the reader, by a long poll between daemons (peers/entry_feed.py) that also states the version of the configuration. The choice is a pure function of the entries and of recent failures (decisions/watch_sources.py); what is passed on is kept by revision and never goes back (decisions/watch_cache.py). A daemon that reaches neither reads the store. A new process finds its first peers in a listing that may be old, which is not applied. The upkeep of the own entry moved to its own module, and a new slot share is written every 15 s at the most.

--- a/bergamotshunt/decisions/known_servers.py
+++ b/bergamotshunt/decisions/known_servers.py
@@ -84,6 +84,12 @@
             if known.stored or _is_retained(known, now_s)
         }
 
+    def stored_entries(self) -> tuple[ServerEntry, ...]:
+        """Return the servers with an entry in the store."""
+        return tuple(
+            known.entry for known in self._by_ip.values() if known.stored
+        )
+
     def servers_by_instance(self) -> dict[str, ServerEntry]:
         """Return the servers by instance id."""
         return {
--- /dev/null
+++ b/bergamotshunt/decisions/watch_cache.py
@@ -0,0 +1,106 @@
+"""Items below a prefix of the store, kept to serve the watches of peers."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from bergamotshunt.stored_items import Item, Listing
+
+# Removed keys that are remembered. A peer that is behind all of them has to
+# read the items anew.
+MAX_REMOVED_KEYS: Final = 1024
+
+
+class WatchCache:
+    """Newest known items, and their changes since a revision.
+
+    Changes may arrive late, repeatedly and in any order; no key goes back to
+    an earlier revision.
+
+    Attributes:
+        revision: Store revision up to which all changes are known; 0 before
+            the first listing.
+    """
+
+    def __init__(self) -> None:
+        """Create a cache that knows nothing."""
+        self.revision = 0
+        # Peers that are behind this revision may have missed removals.
+        self._oldest_revision = 0
+        self._items_by_key: dict[str, Item] = {}
+        self._removals_by_key: dict[str, Item] = {}
+
+    @property
+    def items(self) -> tuple[Item, ...]:
+        """All items that exist."""
+        return tuple(self._items_by_key.values())
+
+    def apply_listing(self, listing: Listing) -> bool:
+        """Replace all items by those of a complete listing.
+
+        Returns:
+            Whether it was applied; a listing of an earlier revision than the
+            known one is ignored.
+        """
+        if listing.revision < self.revision:
+            return False
+        if not self.revision:
+            self._oldest_revision = listing.revision
+        listed_keys = {item.key for item in listing.items}
+        for key in self._items_by_key.keys() - listed_keys:
+            self._apply(Item(key, None, listing.revision))
+        for item in listing.items:
+            self._apply(item)
+        self.revision = listing.revision
+        return True
+
+    def apply_changes(self, changes: Listing) -> tuple[Item, ...]:
+        """Apply the changes up to a revision.
+
+        Returns:
+            Those that were not known before.
+        """
+        news = tuple(filter(self._apply, changes.items))
+        self.revision = max(self.revision, changes.revision)
+        return news
+
+    def changes_after(self, revision: int) -> tuple[Item, ...] | None:
+        """Return what changed after a revision, removals included.
+
+        Returns:
+            The changed items; None if removals since then are forgotten.
+        """
+        if revision >= self.revision:
+            return ()
+        if revision < self._oldest_revision:
+            return None
+        return (
+            *_changed_after(self._items_by_key.values(), revision),
+            *_changed_after(self._removals_by_key.values(), revision),
+        )
+
+    def _apply(self, item: Item) -> bool:
+        known = self._items_by_key.get(item.key)
+        known = known or self._removals_by_key.get(item.key)
+        if known is not None and item.revision <= known.revision:
+            return False
+        self._items_by_key.pop(item.key, None)
+        self._removals_by_key.pop(item.key, None)
+        if item.content is None:
+            self._removals_by_key[item.key] = item
+            self._forget_removals()
+        else:
+            self._items_by_key[item.key] = item
+        return True
+
+    def _forget_removals(self) -> None:
+        if len(self._removals_by_key) <= MAX_REMOVED_KEYS:
+            return
+        oldest = min(
+            self._removals_by_key.values(), key=lambda item: item.revision
+        )
+        self._removals_by_key.pop(oldest.key)
+        self._oldest_revision = max(self._oldest_revision, oldest.revision)
+
+
+def _changed_after(items: Iterable[Item], revision: int) -> list[Item]:
+    return [item for item in items if item.revision > revision]
--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -140,6 +140,16 @@
     contact: StoreContact
 
 
+class StoreReadingChanged(NamedTuple):
+    """This daemon starts or ceases to watch the store.
+
+    Attributes:
+        reading: Whether it does; otherwise it follows a peer that does.
+    """
+
+    reading: bool
+
+
 class ConfigurationMissed(NamedTuple):
     """A peer had a newer configuration than the watch had delivered."""
 
--- a/bergamotshunt/mesh_settings.py
+++ b/bergamotshunt/mesh_settings.py
@@ -57,6 +57,7 @@
         metrics: Address on which the daemon serves its metrics.
         store: Address of the key-value store.
         min_lease_ms: Shortest duration of a lease that the store grants.
+        is_first_start: Whether the whole fleet starts for the first time.
         bounds: Limits that the platform sets for the daemon.
     """
 
@@ -73,4 +74,5 @@
     metrics: Address
     store: Address
     min_lease_ms: int = 1000
+    is_first_start: bool = False
     bounds: Bounds = Bounds()
--- /dev/null
+++ b/bergamotshunt/peers/entry_feed.py
@@ -0,0 +1,171 @@
+"""Feed of store entries between daemons: requests, updates and client."""
+
+from asyncio import timeout
+from http import HTTPStatus
+from typing import Final, NamedTuple
+from urllib.parse import parse_qsl, urlencode
+
+from msgspec.json import encode
+
+from bergamotshunt.decisions.watch_sources import FeedPeer
+from bergamotshunt.decoding import (
+    MalformedInputError,
+    convert_malformed,
+    decode_json,
+)
+from bergamotshunt.http.client_pool import ClientPool, WholeResponse
+from bergamotshunt.http.heads import encode_request_head
+from bergamotshunt.stored_items import Item
+from bergamotshunt.value_checks import check_integer
+
+FEED_PATH: Final = b'/bergamotshunt/entries'
+MAX_UPDATE_BYTES: Final = 16_777_216
+MAX_REVISION: Final = 2**64 - 1
+MAX_WAIT_MS: Final = 30_000
+MS_PER_S: Final = 1000
+# A peer answers this long after the wait at the latest.
+RESPONSE_TIMEOUT_S: Final = 0.4
+
+
+class FeedError(Exception):
+    """A peer did not answer a request for its feed."""
+
+
+class FeedRefusedError(FeedError):
+    """The peer is too far from the store at present."""
+
+
+class FeedRequest(NamedTuple):
+    """Request of a daemon for the changes that it does not know.
+
+    Attributes:
+        revision: Store revision up to which it knows all changes; 0 if it
+            knows none.
+        version: Version of the configuration that it has heard of.
+        wait_ms: Longest wait for a change, in milliseconds.
+        max_depth: Largest number of daemons between the store and the one
+            that is asked; it refuses if there are more.
+    """
+
+    revision: int
+    version: int
+    wait_ms: int
+    max_depth: int
+
+
+class FeedUpdate(NamedTuple):
+    """What a daemon tells one that follows it.
+
+    Attributes:
+        revision: Store revision up to which the items are known.
+        version: Version of the configuration in force at the daemon.
+        depth: Number of daemons between the store and this one.
+        is_listing: Whether the items are all that exist; otherwise those
+            that changed after the revision of the request.
+        items: Entries, as the store has them.
+    """
+
+    revision: int
+    version: int
+    depth: int
+    is_listing: bool
+    items: tuple[Item, ...]
+
+
+def encode_feed_target(request: FeedRequest) -> bytes:
+    """Encode a request as the target of an HTTP request."""
+    query = urlencode(request._asdict()).encode()
+    return b'%b?%b' % (FEED_PATH, query)
+
+
+def decode_feed_target(target: bytes) -> FeedRequest:
+    """Decode the target of an HTTP request.
+
+    Raises:
+        MalformedInputError: It is no request for the feed.
+    """
+    with convert_malformed('malformed request for entries'):
+        fields = dict(parse_qsl(target.partition(b'?')[2].decode()))
+        return FeedRequest(
+            check_integer('revision', int(fields['revision']), 0, MAX_REVISION),
+            check_integer('version', int(fields['version'])),
+            check_integer('wait', int(fields['wait_ms']), 0, MAX_WAIT_MS),
+            check_integer('depth', int(fields['max_depth'])),
+        )
+
+
+def encode_feed_update(update: FeedUpdate) -> bytes:
+    """Encode an update as JSON."""
+    return encode(update)
+
+
+def decode_feed_update(content: bytes) -> FeedUpdate:
+    """Decode an update.
+
+    Raises:
+        MalformedInputError: It is malformed or has values out of range.
+    """
+    update: FeedUpdate = decode_json(content, 'entries', FeedUpdate)
+    with convert_malformed('malformed entries'):
+        check_integer('revision', update.revision, 0, MAX_REVISION)
+        check_integer('version', update.version)
+        check_integer('depth', update.depth)
+        for item in update.items:
+            check_integer('item revision', item.revision, 0, MAX_REVISION)
+    return update
+
+
+class FeedClient:
+    """Asks peers for their feed, one at a time, on a kept connection."""
+
+    def __init__(self) -> None:
+        """Create a client without connections."""
+        self._pool: ClientPool | None = None
+
+    async def ask(self, peer: FeedPeer, request: FeedRequest) -> FeedUpdate:
+        """Ask a peer for the changes that this daemon does not know.
+
+        Raises:
+            FeedRefusedError: The peer is too far from the store.
+            FeedError: There was no usable answer in time.
+        """
+        timeout_s = request.wait_ms / MS_PER_S + RESPONSE_TIMEOUT_S
+        try:
+            async with timeout(timeout_s):
+                response = await self._fetch(peer, request)
+            return _read_update(response)
+        except (ConnectionError, TimeoutError, MalformedInputError) as error:
+            raise FeedError(f'no entries from {peer.ip}: {error!r}') from error
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._pool is not None:
+            self._pool.close()
+
+    async def _fetch(
+        self, peer: FeedPeer, request: FeedRequest
+    ) -> WholeResponse:
+        head = encode_request_head(
+            b'GET',
+            encode_feed_target(request),
+            [(b'Host', peer.ip.encode())],
+            0,
+        )
+        return await self._pool_of(peer).fetch(head, MAX_UPDATE_BYTES)
+
+    def _pool_of(self, peer: FeedPeer) -> ClientPool:
+        pool = self._pool
+        if pool is None or (pool.ip, pool.port) != (peer.ip, peer.port):
+            self.close()
+            pool = ClientPool(peer.ip, peer.port)
+            self._pool = pool
+        return pool
+
+
+def _read_update(response: WholeResponse) -> FeedUpdate:
+    status = response.head.status
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        raise FeedRefusedError('the peer is too far from the store')
+    if status != HTTPStatus.OK:
+        raise FeedError(f'expected status 200 of the peer, got {status}')
+    return decode_feed_update(response.content)
--- a/bergamotshunt/platform/boot.py
+++ b/bergamotshunt/platform/boot.py
@@ -94,6 +94,7 @@
         metrics=Address(ip, first_port + METRICS_PORT_OFFSET),
         store=reader.address('platform.address'),
         min_lease_ms=int(_number(value_by_name, 'platform.min_ttl_ms', 1000)),
+        is_first_start=value_by_name.get('bootstrap') == 'true',
         bounds=_decode_bounds(value_by_name.get('bounds', '')),
     )
     if reader.errors:
--- a/bergamotshunt/platform/store.py
+++ b/bergamotshunt/platform/store.py
@@ -20,6 +20,7 @@
 from bergamotshunt.http.client_pool import ClientPool
 from bergamotshunt.http.heads import Header, encode_request_head
 from bergamotshunt.mesh_settings import Address
+from bergamotshunt.stored_items import Item, Listing
 from bergamotshunt.value_checks import check_integer, check_string
 
 MAX_RESPONSE_BYTES: Final = 4_194_304
@@ -61,7 +62,7 @@
         items: The current items of the compared keys.
     """
 
-    def __init__(self, items: 'tuple[Item, ...]') -> None:
+    def __init__(self, items: tuple[Item, ...]) -> None:
         """Create the error."""
         found = {item.key: item.revision for item in items}
         super().__init__(
@@ -70,29 +71,6 @@
         self.items = items
 
 
-class Item(NamedTuple):
-    """A key and its value.
-
-    Attributes:
-        key: The key.
-        content: The value; None when the key was deleted.
-        revision: Store revision of its last change.
-        lease: Id of the lease it is bound to; 0 for none.
-    """
-
-    key: str
-    content: bytes | None
-    revision: int
-    lease: int = 0
-
-
-class Listing(NamedTuple):
-    """Items and the store revision at which they were read."""
-
-    items: tuple[Item, ...]
-    revision: int
-
-
 class Lease(NamedTuple):
     """Id of a lease, and its time to live without renewal."""
 
@@ -132,9 +110,16 @@
         self._host = str(address).encode()
         self.calls = 0
 
-    async def list_items(self, prefix: str) -> Listing:
+    async def list_items(
+        self, prefix: str, *, allow_stale: bool = False
+    ) -> Listing:
         """Return all items whose key starts with the prefix.
 
+        Args:
+            prefix: Prefix of the keys.
+            allow_stale: Whether the items may be some seconds old, which
+                costs the store a tenth of the work.
+
         Raises:
             StoreError: The call failed.
         """
@@ -143,6 +128,8 @@
         revision = 0
         while True:
             query = {'prefix': prefix}
+            if allow_stale:
+                query['allow_stale'] = '1'
             if after:
                 query['after'] = after
             page = await self._call('GET', f'/-/kv-range?{urlencode(query)}')
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -1,55 +1,59 @@
-"""Fleet: stores this server's entry under a lease and watches all others."""
+"""Fleet: stores this server's entry under a lease and follows all others."""
 
-from asyncio import Event, sleep, timeout
-from contextlib import suppress
+from asyncio import sleep
+from collections.abc import Iterable
 from typing import Any, Final
 
 from bergamotshunt.decisions.known_servers import KnownServers
-from bergamotshunt.decisions.store_contact import StoreContact, record_call
+from bergamotshunt.decisions.store_contact import StoreContact
+from bergamotshunt.decisions.watch_sources import (
+    FOLLOWER_DEPTH,
+    READER_DEPTH,
+    ROOT_DEPTH,
+    FeedPeer,
+)
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.log import log_event
 from bergamotshunt.mesh_messages import (  # noqa: WPS235
     ConfigurationMissed,
     DescribeState,
     OwnServerChanged,
+    PeerVersionReceived,
+    RoutingChanged,
     ServerEntryReceived,
     ServersChanged,
     SlotShareEstimated,
     StopRequested,
     StoreContactChanged,
     StoredServerFound,
+    StoreReadingChanged,
 )
 from bergamotshunt.mesh_task import MeshTask
+from bergamotshunt.peers.entry_feed import FeedRequest, FeedUpdate
 from bergamotshunt.platform.announcements import (
     ENTRY_KEY_PREFIX,
     decode_entry,
     entry_key,
 )
-from bergamotshunt.platform.store import Item, StoreClient, StoreError
+from bergamotshunt.platform.store import StoreClient, StoreError
 from bergamotshunt.rejected_input import RejectedInputLog
-from bergamotshunt.routing import AnnouncedState, ServerEntry
-from bergamotshunt.store.own_entry import (
-    LEASE_MS,
-    RENEW_INTERVAL_S,
-    OwnEntry,
-    is_changed,
-)
+from bergamotshunt.routing import ServerEntry
+from bergamotshunt.store.entry_feed import EntryFeed
+from bergamotshunt.store.entry_source import EntrySource, SourceObserver
+from bergamotshunt.store.own_entry import LEASE_MS, OwnEntry, is_changed
+from bergamotshunt.store.own_entry_keeper import EntryObserver, OwnEntryKeeper
 from bergamotshunt.store.store_watch import (
-    RETRY_JITTER,
     StoreWatch,
     WatchObserver,
     WatchTiming,
 )
+from bergamotshunt.stored_items import Item, Listing
 
-RETRY_DELAY_S: Final = 0.6
-# After a call that waited for its timeout; the entry of a server whose lease
-# has expired is missing until the next call.
-MIN_RETRY_DELAY_S: Final = 0.2
-WATCH_TIMING: Final = WatchTiming(
-    retry_delay_s=RETRY_DELAY_S,
-    batch_delay_s=0.5,
-)
+WATCH_TIMING: Final = WatchTiming(retry_delay_s=0.6, batch_delay_s=0.5)
 EXPIRY_INTERVAL_S: Final = 0.5
+# When all hosts start at once, most servers have announced themselves after
+# this time, and only one daemon of each zone has to read the store.
+FIRST_ANNOUNCEMENTS_S: Final = 2.0
 
 
 class FleetTask(MeshTask):
@@ -65,61 +69,67 @@
         self._known_servers = KnownServers()
         self._rejected = RejectedInputLog(context.clock, self.metrics)
         self._published_by_instance: dict[str, ServerEntry] = {}
-        self._own_server: ServerEntry | None = None
-        self._slot_share: float = 0
         self._own_entry = OwnEntry(
             self._store,
             self.mesh.ip,
             max(LEASE_MS, self.mesh.min_lease_ms),
             context.clock,
         )
+        self._keeper = OwnEntryKeeper(
+            self._own_entry,
+            EntryObserver(self._set_store_state, self._handle_recovery),
+            context.clock,
+            context.rng,
+        )
         self._watch = StoreWatch(
             self._store,
             ENTRY_KEY_PREFIX,
             WatchObserver(
                 self._apply_listing,
                 self._apply_changes,
-                self._set_store_state,
+                self._handle_watch_failure,
             ),
             WATCH_TIMING,
             context.clock,
             context.rng,
         )
-        self._contact = StoreContact()
-        self._entry_changed = Event()
-        self._revoking = False
+        self._feed = EntryFeed()
+        self._source = EntrySource(
+            FeedPeer(self.mesh.ip, self.mesh.inbound.port, self.mesh.zone),
+            self._watch,
+            self._feed,
+            SourceObserver(self._apply_update, self._handle_reading),
+            context.clock,
+        )
         self._connected = True
+        self._watch_failed = False
+        self._source_depth = READER_DEPTH
+        self._stopping = False
 
     async def start(self) -> None:
-        """Start to write this server's entry and to watch and expire all."""
-        self.spawn_loop(self._run_own_entry)
-        self.spawn_loop(self._watch.run)
+        """Start to write this server's entry and to follow and expire all."""
+        self.spawn_loop(self._keeper.run)
+        self.spawn_loop(self._run_source)
         self.spawn_loop(self._run_expiry)
 
     async def close(self) -> None:
-        """Close the connections to the store."""
+        """Close the connections to the store and to the followed peer."""
         self._store.close()
+        self._source.close()
         await super().close()
 
     @handlers.on(OwnServerChanged)
     def handle_own_server(self, message: OwnServerChanged) -> None:
         """Update this server's entry; write it to the store if it differs."""
-        entry = message.entry._replace(slot_share=self._slot_share)
-        self._own_server = entry
+        self._keeper.update_server(message.entry)
+        entry = self._keeper.server or message.entry
         self._known_servers.apply_report(entry, self.context.clock())
         self._publish()
-        if is_changed(entry, self._own_entry.written):
-            self._entry_changed.set()
 
     @handlers.on(SlotShareEstimated)
     def update_slot_share(self, message: SlotShareEstimated) -> None:
         """Store the slot share for the next process of this daemon."""
-        self._slot_share = message.share
-        if self._own_server is not None:
-            self._own_server = self._own_server._replace(
-                slot_share=message.share
-            )
-            self._entry_changed.set()
+        self._keeper.update_slot_share(message.share)
 
     @handlers.on(ServerEntryReceived)
     def handle_server_entry(self, message: ServerEntryReceived) -> None:
@@ -127,6 +137,11 @@
         self._known_servers.apply_report(message.entry, self.context.clock())
         self._publish()
 
+    @handlers.on(RoutingChanged)
+    def update_version(self, message: RoutingChanged) -> None:
+        """Tell followers of the version of the configuration in force."""
+        self._feed.update_version(message.routing.version)
+
     @handlers.on(ConfigurationMissed)
     def handle_missed_configuration(
         self, _message: ConfigurationMissed
@@ -134,22 +149,25 @@
         """Ask the pending watch again: it may be lost as well."""
         self._watch.abandon('configuration-missed')
 
+    @handlers.on(FeedRequest)
+    async def serve_feed(self, request: FeedRequest) -> FeedUpdate | None:
+        """Return the entries that a peer does not know, once there are any."""
+        self.metrics.increment('feed_requests')
+        return await self._feed.serve(request)
+
     @handlers.on(StopRequested)
     def handle_stop(self, _message: StopRequested) -> None:
-        """Revoke the lease of a leaving or deregistered server.
-
-        The entry of a server that still runs is kept, so that the next
-        process of this daemon finds it and serves at once.
-        """
-        own = self._own_server
-        self._revoking = own is None or own.state is AnnouncedState.LEAVING
-        self._entry_changed.set()
+        """Revoke the lease of a leaving or deregistered server."""
+        self._stopping = True
+        self._update_serving()
+        self._keeper.stop()
 
     def update_gauges(self) -> None:
         """Update the gauges of the lease and the store."""
         age_s = self.context.clock() - self._own_entry.renewed_s
         self.metrics.set_gauge('lease_age_seconds', age_s)
         self.metrics.set_gauge('store_connected', float(self._connected))
+        self.metrics.set_gauge('store_reading', float(self._source.reading))
         self.metrics.set_gauge('membership_store_calls', self._store.calls)
         self.metrics.set_gauge(
             'membership_watches_abandoned', self._watch.abandoned
@@ -168,80 +186,103 @@
                 'lease': own.lease,
                 'lease_age_s': round(self.context.clock() - own.renewed_s, 1),
                 'entry_written': own.written is not None,
+                'reading': self._source.reading,
+                'revision': self._feed.cache.revision,
             },
         }
 
-    # This server's entry
+    # Entries of all servers
 
-    async def _run_own_entry(self) -> None:
-        while True:
-            wait_s = await self._renew_own_entry()
-            # asyncio.wait_for of Python 3.11 can swallow a cancellation that
-            # arrives with the event, and the task would never close.
-            with suppress(TimeoutError):
-                async with timeout(wait_s):
-                    await self._entry_changed.wait()
-                    self._entry_changed.clear()
-
-    async def _renew_own_entry(self) -> float:
-        """Renew the lease and write the entry.
-
-        Returns:
-            The time until the next renewal, in seconds.
+    async def _run_source(self) -> None:
+        if not self._feed.cache.revision:
+            await self._find_first_peers()
+        await self._source.run()
+
+    async def _find_first_peers(self) -> None:
+        peers = await self._list_first_peers()
+        if self.mesh.is_first_start and not peers:
+            await sleep(FIRST_ANNOUNCEMENTS_S)
+            peers = await self._list_first_peers()
+        self._source.update_peers(peers)
+
+    async def _list_first_peers(self) -> tuple[FeedPeer, ...]:
+        """List daemons that may be able to pass on what the store tells.
+
+        The listing may be some seconds old. It is not applied: a server in
+        it may have left since.
         """
-        started_s = self.context.clock()
-        own = self._own_entry
-        renewed_s, ended_leases = own.renewed_s, own.ended_leases
         try:
-            await self._update_own_entry()
+            listing = await self._store.list_items(
+                ENTRY_KEY_PREFIX, allow_stale=True
+            )
         except StoreError as error:
             self._set_store_state(error)
-            self._record_call(started_s, failed=True)
-            return self._retry_delay_s(started_s)
-        self._set_store_state(None)
-        if own.ended_leases > ended_leases:
-            # The store has not heard of this daemon for the whole lease.
-            self._record_call(started_s, failed=True)
-        if own.renewed_s > renewed_s:
-            self._record_call(own.renewed_s, failed=False)
-        return RENEW_INTERVAL_S
-
-    def _retry_delay_s(self, started_s: float) -> float:
-        """Return the delay after a failed call that started at a time."""
-        took_s = self.context.clock() - started_s
-        delay_s = max(RETRY_DELAY_S - took_s, MIN_RETRY_DELAY_S)
-        return delay_s * self.context.rng.uniform(*RETRY_JITTER)
-
-    def _record_call(self, sent_s: float, *, failed: bool) -> None:
-        """Record a renewal of the lease; watches may have to be asked again."""
-        before = self._contact
-        self._contact = record_call(
-            before, sent_s, self.context.clock(), failed=failed
-        )
-        if self._contact.recovered_s > before.recovered_s:
-            self._watch.update_contact(self._contact)
-            self.bus.publish(StoreContactChanged(self._contact))
-
-    async def _update_own_entry(self) -> None:
-        if self._revoking:
-            await self._own_entry.revoke()
-        elif self._own_server is not None:
-            await self._own_entry.renew_and_write(self._own_server)
-
-    # Entries of all servers
-
-    def _apply_listing(self, items: tuple[Item, ...]) -> None:
-        entries = list(filter(None, map(self._decode, items)))
+            return ()
+        entries = map(self._decode, listing.items)
+        return _ready_peers(filter(None, entries))
+
+    def _handle_reading(self, reading: bool) -> None:
+        self._watch_failed = False
+        self._update_serving()
+        self.bus.publish(StoreReadingChanged(reading))
+
+    def _handle_recovery(self, contact: StoreContact) -> None:
+        self._watch.update_contact(contact)
+        self.bus.publish(StoreContactChanged(contact))
+
+    def _handle_watch_failure(self, error: StoreError) -> None:
+        self._watch_failed = True
+        self._source.hold_store()
+        self._set_store_state(error)
+
+    def _update_serving(self) -> None:
+        """Serve followers only with what the store confirms."""
+        depth = self._source_depth + 1
+        if self._source.reading:
+            is_failing = self._watch_failed or self._keeper.contact.failing
+            depth = FOLLOWER_DEPTH if is_failing else ROOT_DEPTH
+        if self._stopping or not self._feed.cache.revision:
+            depth = FOLLOWER_DEPTH
+        self._feed.update_depth(depth)
+
+    def _apply_update(self, update: FeedUpdate, peer: FeedPeer) -> None:
+        self._source_depth = update.depth
+        changes = Listing(update.items, update.revision)
+        if update.is_listing:
+            self._apply_listing(changes)
+        else:
+            self._apply_changes(changes)
+        if update.version > self._feed.version:
+            self.bus.publish(PeerVersionReceived(update.version, peer.ip))
+
+    def _apply_listing(self, listing: Listing) -> None:
+        self._watch_failed = False
+        if not self._feed.cache.apply_listing(listing):
+            return
+        entries = list(filter(None, map(self._decode, listing.items)))
         self._known_servers.apply_listing(entries, self.context.clock())
         self._publish_stored_own(entries)
-        self._own_entry.apply_listing(items)
-        self._publish()
-
-    def _apply_changes(self, items: tuple[Item, ...]) -> None:
-        for item in items:
+        self._own_entry.apply_listing(listing.items)
+        self._handle_news()
+        self._update_serving()
+
+    def _apply_changes(self, changes: Listing) -> None:
+        self._watch_failed = False
+        news = self._feed.cache.apply_changes(changes)
+        for item in news:
             with self._rejected.contain('fleet:entry-failed', item.key):
                 self._apply_change(item)
+        self._update_serving()
+        if news:
+            self._handle_news()
+
+    def _handle_news(self) -> None:
+        """Act on entries that changed in the store."""
+        self._source.update_peers(
+            _ready_peers(self._known_servers.stored_entries())
+        )
         self._publish()
+        self._feed.notify()
 
     def _publish_stored_own(self, entries: list[ServerEntry]) -> None:
         """Publish this host's entry that an earlier process wrote.
@@ -260,20 +301,14 @@
                 item.key.removeprefix(ENTRY_KEY_PREFIX),
                 now_s,
             )
-            if item.key == self._own_entry.key:
-                self._rewrite_expired_entry()
+            if self._own_entry.is_ended_by(item):
+                log_event('fleet:own-entry-lapsed', lease=self._own_entry.lease)
+                self._keeper.rewrite()
             return
         entry = self._decode(item)
         if entry is not None:
             self._known_servers.apply_stored(entry, now_s)
 
-    def _rewrite_expired_entry(self) -> None:
-        if self._own_entry.written is None:
-            return
-        log_event('fleet:own-entry-lapsed', lease=self._own_entry.lease)
-        self._own_entry.mark_expired()
-        self._entry_changed.set()
-
     def _decode(self, item: Item) -> ServerEntry | None:
         """Decode an entry; log it and return None when it is unusable."""
         with self._rejected.contain('fleet:entry-unreadable', item.key):
@@ -305,6 +340,7 @@
         self.bus.publish(ServersChanged(servers))
 
     def _set_store_state(self, error: StoreError | None) -> None:
+        self._update_serving()
         connected = error is None
         if connected == self._connected:
             return
@@ -316,6 +352,15 @@
         )
 
 
+def _ready_peers(entries: Iterable[ServerEntry]) -> tuple[FeedPeer, ...]:
+    """Return the daemons beside servers that do not leave."""
+    return tuple(
+        FeedPeer(entry.ip, entry.inbound_port, entry.zone)
+        for entry in entries
+        if not entry.is_leaving
+    )
+
+
 @MESH_PLUGINS.register('fleet')
 def create_fleet(context: Context) -> FleetTask:
     """Create the fleet task."""
--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -29,6 +29,8 @@
     PeerCall,
     decode_call,
 )
+from bergamotshunt.peers.entry_feed import FEED_PATH
+from bergamotshunt.peers.feed_serving import serve_feed
 from bergamotshunt.platform.requests import ServerResponseInfo
 from bergamotshunt.routing import AnnouncedState, Routing, ServerEntry
 
@@ -147,6 +149,9 @@
         if head.target == CONFIGURATION_PATH:
             self._show_configuration(exchange)
             return
+        if head.target.startswith(FEED_PATH):
+            await serve_feed(exchange, self.bus)
+            return
         call = decode_call(head.by_name.get(CALL_HEADER_KEY, b''))
         if call is None:
             exchange.respond(HTTPStatus.BAD_REQUEST, [])
--- a/bergamotshunt/plugins/mesh/routes.py
+++ b/bergamotshunt/plugins/mesh/routes.py
@@ -14,6 +14,7 @@
     PeerVersionReceived,
     RoutingChanged,
     StoreContactChanged,
+    StoreReadingChanged,
 )
 from bergamotshunt.mesh_task import MeshTask
 from bergamotshunt.peers.peer_calls import CONFIGURATION_PATH
@@ -21,13 +22,14 @@
     CONFIGURATION_KEY,
     decode_configuration,
 )
-from bergamotshunt.platform.store import Item, StoreClient, StoreError
+from bergamotshunt.platform.store import StoreClient, StoreError
+from bergamotshunt.rejected_input import RejectedInputLog
 from bergamotshunt.store.store_watch import (
     StoreWatch,
     WatchObserver,
     WatchTiming,
 )
-from bergamotshunt.rejected_input import RejectedInputLog
+from bergamotshunt.stored_items import Listing
 
 WATCH_TIMING: Final = WatchTiming(retry_delay_s=0.4, batch_delay_s=0.2)
 # The watch of the store usually delivers a new version within this time, so
@@ -62,9 +64,11 @@
         self._applied_s = self.context.clock()
         self._newest_known_version = 0
         self._fetching = False
+        self._reading = False
 
     async def start(self) -> None:
-        """Start to watch the store."""
+        """Start to watch the store once the fleet task reads it."""
+        self._watch.pause()
         self.spawn_loop(self._watch.run)
 
     async def close(self) -> None:
@@ -82,12 +86,22 @@
             return
         self._fetching = True
         try:
-            await sleep(PEER_FETCH_DELAY_S)
+            if self._reading:
+                await sleep(PEER_FETCH_DELAY_S)
             if self._version < self._newest_known_version:
                 await self._fetch(message.ip)
         finally:
             self._fetching = False
 
+    @handlers.on(StoreReadingChanged)
+    def handle_reading(self, message: StoreReadingChanged) -> None:
+        """Watch the store, or leave it to the peer that is followed."""
+        self._reading = message.reading
+        if message.reading:
+            self._watch.resume()
+        else:
+            self._watch.pause()
+
     @handlers.on(StoreContactChanged)
     def handle_contact(self, message: StoreContactChanged) -> None:
         """Ask a pending watch again if the store was away meanwhile."""
@@ -121,8 +135,8 @@
     def _log_failure(self, error: StoreError) -> None:
         log_event('routes:store-failed', 'debug', detail=repr(error))
 
-    def _apply_items(self, items: tuple[Item, ...]) -> None:
-        for item in items:
+    def _apply_items(self, listing: Listing) -> None:
+        for item in listing.items:
             if item.key == CONFIGURATION_KEY and item.content is not None:
                 self._apply_contained(item.content, 'store')
 
@@ -168,8 +182,9 @@
         self._apply_contained(response.content, ip)
         if self._version > before:
             # The watch has not delivered a version that a peer already had.
-            self._watch.abandon('peer-has-newer-version')
-            self.bus.publish(ConfigurationMissed())
+            if self._reading:
+                self._watch.abandon('peer-has-newer-version')
+                self.bus.publish(ConfigurationMissed())
 
 
 @MESH_PLUGINS.register('routes')
--- a/bergamotshunt/routing.py
+++ b/bergamotshunt/routing.py
@@ -169,6 +169,11 @@
     cold_ms: float = 0
     slot_share: float = 0
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the server accepts no new requests."""
+        return self.state is AnnouncedState.LEAVING
+
 
 def check_routing(routing: Routing) -> Routing:
     """Check a configuration that another writer may have produced.
--- /dev/null
+++ b/bergamotshunt/store/entry_source.py
@@ -0,0 +1,142 @@
+"""Follows the entries of all servers, at the store or at a peer."""
+
+from collections.abc import Callable, Iterable
+from typing import Final, NamedTuple
+
+from bergamotshunt.decisions.watch_sources import (
+    FAILURE_HOLD_S,
+    REFUSAL_HOLD_S,
+    FeedPeer,
+    Source,
+    choose_source,
+    list_sources,
+)
+from bergamotshunt.log import log_event
+from bergamotshunt.peers.entry_feed import (
+    FeedClient,
+    FeedError,
+    FeedRefusedError,
+    FeedRequest,
+    FeedUpdate,
+)
+from bergamotshunt.store.entry_feed import EntryFeed
+from bergamotshunt.store.store_watch import StoreWatch
+
+# A silent peer is noticed this long after its last answer, and a little more.
+FEED_WAIT_MS: Final = 600
+
+
+class SourceObserver(NamedTuple):
+    """Functions that an entry source calls.
+
+    Attributes:
+        on_update: Takes the update of a peer that is followed.
+        on_reading: Called when this daemon starts or ceases to watch the
+            store.
+    """
+
+    on_update: Callable[[FeedUpdate, FeedPeer], None]
+    on_reading: Callable[[bool], None]
+
+
+class EntrySource:
+    """Follows a peer, or reads the store itself.
+
+    Args:
+        own: This daemon, as peers see it.
+        watch: Watch of the entries in the store.
+        feed: What this daemon knows; its revision is where to continue.
+        observer: Functions that take what is learned.
+        clock: Returns the monotonic time in seconds.
+
+    Attributes:
+        reading: Whether this daemon watches the store.
+        version: Newest version of the configuration that a peer told of.
+    """
+
+    def __init__(
+        self,
+        own: FeedPeer,
+        watch: StoreWatch,
+        feed: EntryFeed,
+        observer: SourceObserver,
+        clock: Callable[[], float],
+    ) -> None:
+        """Create a source that has asked nothing."""
+        self.reading = False
+        self.version = 0
+        self._own = own
+        self._watch = watch
+        self._feed = feed
+        self._observer = observer
+        self._clock = clock
+        self._client = FeedClient()
+        self._source_ip = ''
+        self._sources: list[Source] = []
+        self._held_until_s_by_ip: dict[str, float] = {}
+
+    def update_peers(self, peers: Iterable[FeedPeer]) -> None:
+        """Set the daemons that may be followed."""
+        self._sources = list_sources(peers, self._own)
+
+    async def run(self) -> None:
+        """Follow the entries until the task is cancelled."""
+        while True:
+            source = choose_source(
+                self._sources,
+                self._own.ip,
+                self._held_until_s_by_ip,
+                self._clock(),
+            )
+            self._record_source(source)
+            if source is None:
+                await self._watch.step()
+            else:
+                await self._follow(source)
+
+    def hold_store(self) -> None:
+        """Prefer peers for a while: the store does not answer this daemon."""
+        self._held_until_s_by_ip[self._own.ip] = self._clock() + FAILURE_HOLD_S
+
+    def close(self) -> None:
+        """Close the connection to the peer."""
+        self._client.close()
+
+    async def _follow(self, source: Source) -> None:
+        peer = source.peer
+        request = FeedRequest(
+            self._feed.cache.revision,
+            self.version,
+            FEED_WAIT_MS,
+            source.max_depth,
+        )
+        try:
+            update = await self._client.ask(peer, request)
+        except FeedRefusedError as refusal:
+            self._hold(peer, REFUSAL_HOLD_S, refusal)
+        except FeedError as error:
+            self._hold(peer, FAILURE_HOLD_S, error)
+        else:
+            self.version = max(self.version, update.version)
+            self._observer.on_update(update, peer)
+
+    def _hold(self, peer: FeedPeer, hold_s: float, error: FeedError) -> None:
+        log_event('fleet:source-failed', ip=peer.ip, detail=str(error))
+        self._held_until_s_by_ip[peer.ip] = self._clock() + hold_s
+
+    def _record_source(self, source: Source | None) -> None:
+        source_ip = self._own.ip if source is None else source.peer.ip
+        if source_ip == self._source_ip:
+            return
+        self._source_ip = source_ip
+        log_event(
+            'fleet:source-changed',
+            source='store' if source is None else source_ip,
+            revision=self._feed.cache.revision,
+        )
+        reading = source is None
+        if reading and self._feed.cache.revision:
+            self._watch.resume_after(self._feed.cache.revision)
+        if reading is not self.reading:
+            self.reading = reading
+            self._observer.on_reading(reading)
--- a/bergamotshunt/store/own_entry.py
+++ b/bergamotshunt/store/own_entry.py
@@ -10,13 +10,13 @@
 )
 from bergamotshunt.platform.store import (
     ConflictError,
-    Item,
     LeaseEndedError,
     OutcomeUnknownError,
     StoreClient,
     Write,
 )
 from bergamotshunt.routing import ServerEntry
+from bergamotshunt.stored_items import Item
 
 LEASE_MS: Final = 5000
 # Three renewals fall into one lease, so a failed one does not end it.
@@ -96,6 +96,16 @@
         if self.written is None:
             self._revision = _revision_of(items, self.key)
 
+    def is_ended_by(self, removal: Item) -> bool:
+        """Return whether the removal of an item deleted the written entry.
+
+        News of an earlier removal may arrive after the entry was written
+        again.
+        """
+        if removal.key != self.key or self.written is None:
+            return False
+        return self._revision is None or removal.revision > self._revision
+
     def mark_expired(self) -> None:
         """Record that the lease expired and the entry was deleted."""
         self.lease = 0
--- /dev/null
+++ b/bergamotshunt/store/own_entry_keeper.py
@@ -0,0 +1,178 @@
+"""Keeps the entry of the local server in the store: lease, writes, contact."""
+
+from asyncio import Event, timeout
+from collections.abc import Callable
+from contextlib import suppress
+from math import inf
+from random import Random
+from typing import Final, NamedTuple
+
+from bergamotshunt.decisions.store_contact import StoreContact, record_call
+from bergamotshunt.platform.store import StoreError
+from bergamotshunt.routing import ServerEntry
+from bergamotshunt.store.own_entry import (
+    RENEW_INTERVAL_S,
+    OwnEntry,
+    is_changed,
+)
+from bergamotshunt.store.store_watch import RETRY_JITTER
+
+RETRY_DELAY_S: Final = 0.6
+# After a call that waited for its timeout; the entry of a server whose lease
+# has expired is missing until the next call.
+MIN_RETRY_DELAY_S: Final = 0.2
+# The slot share is only read after a restart. Each write of it costs a call,
+# and one more at each reader of the store.
+SLOT_SHARE_INTERVAL_S: Final = 15.0
+
+
+class EntryObserver(NamedTuple):
+    """Functions that a keeper calls.
+
+    Attributes:
+        on_result: Takes the error of a failed update; None after success.
+        on_recovery: Takes the contact when the store answers again.
+    """
+
+    on_result: Callable[[StoreError | None], None]
+    on_recovery: Callable[[StoreContact], None]
+
+
+class OwnEntryKeeper:
+    """Renews the lease of an entry and writes what changes.
+
+    Args:
+        own_entry: The entry in the store.
+        observer: Functions that take the outcomes.
+        clock: Returns the monotonic time in seconds.
+        rng: Random source of the retry delays.
+
+    Attributes:
+        contact: What the calls tell of the store.
+    """
+
+    def __init__(
+        self,
+        own_entry: OwnEntry,
+        observer: EntryObserver,
+        clock: Callable[[], float],
+        rng: Random,
+    ) -> None:
+        """Create a keeper without a server."""
+        self.contact = StoreContact()
+        self._own_entry = own_entry
+        self._observer = observer
+        self._clock = clock
+        self._rng = rng
+        self._server: ServerEntry | None = None
+        self._slot_share: float = 0
+        self._slot_share_due_s = -inf
+        self._revoking = False
+        self._changed = Event()
+
+    @property
+    def server(self) -> ServerEntry | None:
+        """The server on this host, with its estimated slot share."""
+        if self._server is None:
+            return None
+        return self._server._replace(slot_share=self._slot_share)
+
+    def update_server(self, entry: ServerEntry) -> None:
+        """Write the entry of the server unless the store has it."""
+        self._server = entry
+        self._write_if_changed()
+
+    def update_slot_share(self, share: float) -> None:
+        """Keep the slot share for the next process of this daemon."""
+        self._slot_share = share
+        self._write_if_changed()
+
+    def rewrite(self) -> None:
+        """Write the entry again: its lease has ended."""
+        self._own_entry.mark_expired()
+        self._changed.set()
+
+    def stop(self) -> None:
+        """Revoke the lease of a server that leaves, or of none.
+
+        The entry of a server that still runs is kept, so that the next
+        process of this daemon finds it and serves at once.
+        """
+        server = self._server
+        self._revoking = server is None or server.is_leaving
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Keep the entry until the task is cancelled."""
+        while True:
+            wait_s = await self._update()
+            # asyncio.wait_for of Python 3.11 can swallow a cancellation that
+            # arrives with the event, and the task would never close.
+            with suppress(TimeoutError):
+                async with timeout(wait_s):
+                    await self._changed.wait()
+                    self._changed.clear()
+
+    def _write_if_changed(self) -> None:
+        entry = self._entry_to_write()
+        if entry is not None and is_changed(entry, self._own_entry.written):
+            self._changed.set()
+
+    def _entry_to_write(self) -> ServerEntry | None:
+        """Return the entry; a new slot share has to wait for its interval."""
+        written = self._own_entry.written
+        entry = self.server
+        if entry is None or written is None:
+            return entry
+        if self._clock() < self._slot_share_due_s:
+            return entry._replace(slot_share=written.slot_share)
+        return entry
+
+    async def _update(self) -> float:
+        """Renew the lease and write the entry.
+
+        Returns:
+            The time until the next renewal, in seconds.
+        """
+        started_s = self._clock()
+        own = self._own_entry
+        renewed_s, ended_leases = own.renewed_s, own.ended_leases
+        try:
+            await self._revoke_or_write()
+        except StoreError as error:
+            self._observer.on_result(error)
+            self._record_call(started_s, failed=True)
+            return self._retry_delay_s(started_s)
+        self._observer.on_result(None)
+        if own.ended_leases > ended_leases:
+            # The store has not heard of this daemon for the whole lease.
+            self._record_call(started_s, failed=True)
+        if own.renewed_s > renewed_s:
+            self._record_call(own.renewed_s, failed=False)
+        return RENEW_INTERVAL_S
+
+    async def _revoke_or_write(self) -> None:
+        if self._revoking:
+            await self._own_entry.revoke()
+            return
+        entry = self._entry_to_write()
+        if entry is None:
+            return
+        written = self._own_entry.written
+        await self._own_entry.renew_and_write(entry)
+        before = written.slot_share if written else 0
+        if entry.slot_share != before:
+            self._slot_share_due_s = self._clock() + SLOT_SHARE_INTERVAL_S
+
+    def _retry_delay_s(self, started_s: float) -> float:
+        """Return the delay after a failed call that started at a time."""
+        took_s = self._clock() - started_s
+        delay_s = max(RETRY_DELAY_S - took_s, MIN_RETRY_DELAY_S)
+        return delay_s * self._rng.uniform(*RETRY_JITTER)
+
+    def _record_call(self, sent_s: float, *, failed: bool) -> None:
+        """Record a renewal of the lease; watches may have to be asked again."""
+        before = self.contact
+        self.contact = record_call(before, sent_s, self._clock(), failed=failed)
+        if self.contact.recovered_s > before.recovered_s:
+            self._observer.on_recovery(self.contact)
--- a/bergamotshunt/store/store_watch.py
+++ b/bergamotshunt/store/store_watch.py
@@ -11,11 +11,10 @@
 from bergamotshunt.log import log_event
 from bergamotshunt.platform.store import (
     HistoryGoneError,
-    Item,
-    Listing,
     StoreClient,
     StoreError,
 )
+from bergamotshunt.stored_items import Listing
 
 WATCH_TIMEOUT_MS: Final = 20_000
 # Range of the random factor that spreads the retries of the daemons.
@@ -40,12 +39,13 @@
 
     Attributes:
         on_listing: Takes all items below the prefix.
-        on_changes: Takes the items that changed since the last call.
+        on_changes: Takes the items that changed since the last call, and
+            the revision up to which these are all changes.
         on_failure: Takes the error of a failed call.
     """
 
-    on_listing: Callable[[tuple[Item, ...]], None]
-    on_changes: Callable[[tuple[Item, ...]], None]
+    on_listing: Callable[[Listing], None]
+    on_changes: Callable[[Listing], None]
     on_failure: Callable[[StoreError], None]
 
 
@@ -87,18 +87,38 @@
         self._revision: int | None = None
         self._asked_s = inf
         self._abandon_requested = Event()
+        self._enabled = Event()
+        self._enabled.set()
 
     async def run(self) -> None:
         """Follow the items until the task is cancelled."""
         while True:
-            try:
-                await self._ask()
-            except HistoryGoneError:
-                self._revision = None
-            except StoreError as error:
-                self._observer.on_failure(error)
-                jitter = self._rng.uniform(*RETRY_JITTER)
-                await sleep(self._timing.retry_delay_s * jitter)
+            await self._enabled.wait()
+            await self.step()
+
+    async def step(self) -> None:
+        """Make the next call, and wait until another one may follow."""
+        try:
+            await self._ask()
+        except HistoryGoneError:
+            self._revision = None
+        except StoreError as error:
+            self._observer.on_failure(error)
+            jitter = self._rng.uniform(*RETRY_JITTER)
+            await sleep(self._timing.retry_delay_s * jitter)
+
+    def resume_after(self, revision: int) -> None:
+        """Watch the changes after a revision that is known otherwise."""
+        self._revision = revision
+
+    def pause(self) -> None:
+        """Make no call from now on, and give up the pending one."""
+        self._enabled.clear()
+        self._abandon_requested.set()
+
+    def resume(self) -> None:
+        """Make calls again, from the last known revision."""
+        self._enabled.set()
 
     def update_contact(self, contact: StoreContact) -> None:
         """Ask again if other calls show that the pending watch is lost."""
@@ -126,13 +146,13 @@
     async def _ask(self) -> None:
         if self._revision is None:
             listing = await self._store.list_items(self._prefix)
-            self._observer.on_listing(listing.items)
+            self._observer.on_listing(listing)
         else:
             answer = await self._wait_for_changes(self._revision)
             if answer is None:
                 return
             listing = answer
-            self._observer.on_changes(listing.items)
+            self._observer.on_changes(listing)
         self._revision = listing.revision
         self.answered_s = self._clock()
         await sleep(self._timing.batch_delay_s)
--- a/bergamotshunt/tests/mesh.py
+++ b/bergamotshunt/tests/mesh.py
@@ -107,9 +107,10 @@
         await self.store.put(
             'op/config', configuration(1, READ_ROUTE, BOOKING_ROUTE)
         )
-        (port,) = free_ports(f'{LOOPBACK_PREFIX}.11', 1)
+        # Daemons expect the same ports for their peers on all hosts.
+        ports = free_ports(f'{LOOPBACK_PREFIX}.11', 2)
         for number, behaviour in enumerate(self._behaviours):
-            await self._add(number, behaviour, port)
+            await self._add(number, behaviour, ports)
         for number in range(len(self.hosts)):
             assert await self.announce(number) == 200
         await self.wait_until(
@@ -123,11 +124,14 @@
             await host.server.close()
         await self.store.close()
 
-    async def _add(self, number: int, behaviour: Behaviour, port: int) -> None:
+    async def _add(
+        self, number: int, behaviour: Behaviour, peer_ports: list[int]
+    ) -> None:
         ip = f'{LOOPBACK_PREFIX}.{number + 11}'
         server = MeshServer(f'i-{number}', behaviour)
         await server.open(ip)
-        outbound, inbound, control, ready, metrics = free_ports(ip, 5)
+        datagram_port, inbound = peer_ports
+        outbound, control, ready, metrics = free_ports(ip, 4)
         settings = MeshSettings(
             daemon_id=f'daemon-{number}',
             ip=ip,
@@ -138,7 +142,7 @@
             inbound=Address(ip, inbound),
             control=Address(ip, control),
             ready=Address(ip, ready),
-            datagram_port=port,
+            datagram_port=datagram_port,
             metrics=Address(ip, metrics),
             store=Address('127.0.0.1', self.store.port),
             bounds=Bounds(retry_ratio=0.2, retry_slack=400, retry_window_s=0.5),
--- a/bergamotshunt/tests/test_mesh_shutdown.py
+++ b/bergamotshunt/tests/test_mesh_shutdown.py
@@ -613,10 +613,10 @@
             await mesh.wait_until(
                 lambda: (
                     fleet._own_entry.written is not None
-                    and not fleet._entry_changed.is_set()
+                    and not fleet._keeper._changed.is_set()
                 )
             )
-            fleet._entry_changed.set()
+            fleet._keeper._changed.set()
             for _ in range(steps):
                 await asyncio.sleep(0)
             async with asyncio.timeout(DRAIN_TIMEOUT_S):
