--- a/bergamotshunt/tests/test_mesh_closing.py
+++ b/bergamotshunt/tests/test_mesh_closing.py
@@ -11,6 +11,7 @@
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.listeners import Listener
 from bergamotshunt.peers.peer_calls import CALL_HEADER
+from bergamotshunt.plugins.mesh import outbound
 from bergamotshunt.tests.mesh import Mesh
 from bergamotshunt.tests.slow_client import SlowClient
 from standins.mesh_server import MeshServer
@@ -99,6 +100,36 @@
     asyncio.run(run_scenario())
 
 
+@pytest.mark.parametrize('path', ['/read/1', '/book/1'])
+def test_request_that_outlasts_the_drain_gets_a_response(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that are taken and cut at the end of the grace.
+
+    The server does not respond in time. A request that comes later than new
+    ones are accepted is refused and does not run.
+    """
+    monkeypatch.setattr(outbound, 'ACCEPT_AFTER_STOP_S', 0.05)
+
+    async def never(_server: MeshServer, _exchange: Exchange) -> None:
+        await asyncio.Event().wait()
+
+    async def run_scenario() -> None:
+        async with Mesh([never]) as mesh:
+            kernel = mesh.hosts[0].kernel
+            taken = asyncio.create_task(mesh.fetch(0, path, 'taken', b'x'))
+            await mesh.wait_until(lambda: mesh.runs() == [b'taken'])
+            draining = asyncio.create_task(kernel.drain(1.0))
+            await asyncio.sleep(0.1)
+            late = await mesh.fetch(0, path, 'late', b'x')
+            assert late.status == 503
+            assert not await draining
+            assert (await taken).status == 504
+            assert mesh.runs() == [b'taken']
+
+    asyncio.run(run_scenario())
+
+
 def test_refusal_of_a_stopping_daemon_states_when_to_return() -> None:
     """Guards against clients that return at once to a daemon that stops."""
 
