Let the test of requests that outlast a drain end its daemon

Cause: test_request_that_outlasts_the_drain_gets_a_response did not stop the daemon before it read the response, so the timeout of the route answered the request and the guard, RequestProxy.end_requests, was not tested. Change: the daemon is stopped after the drain; the checks are the same.

--- a/bergamotshunt/tests/test_mesh_closing.py
+++ b/bergamotshunt/tests/test_mesh_closing.py
@@ -124,6 +124,7 @@
             late = await mesh.fetch(0, path, 'late', b'x')
             assert late.status == 503
             assert not await draining
+            await kernel.stop()
             assert (await taken).status == 504
             assert mesh.runs() == [b'taken']
 
