Do not hold a drain for bytes that the system sends on its own

Polls of followers held the stop as well when it began without the message to all tasks. Change: a lingering connection holds the drain while bytes are unsent and 0.5 s longer; it still closes only once the client has acknowledged all. The fleet task refuses followers when it drains.

--- a/bergamotshunt/http/lingering_close.py
+++ b/bergamotshunt/http/lingering_close.py
@@ -27,6 +27,7 @@
         stall_timeout_s: Returns how long the peer may take no bytes now, in
             seconds.
         on_stall: Called when the peer takes no more bytes.
+        on_check: Called after each check of the progress.
     """
 
     def __init__(
@@ -35,16 +36,19 @@
         sent_s: float,
         stall_timeout_s: Callable[[], float],
         on_stall: Callable[[], None],
+        on_check: Callable[[], None],
     ) -> None:
         """Send the end of the stream after all buffered bytes."""
         self._transport = transport
         self._stall_timeout_s = stall_timeout_s
         self._on_stall = on_stall
+        self._on_check = on_check
         self._timer: TimerHandle | None = None
         self._undelivered_bytes = count_undelivered_bytes(transport)
         self._progress_s = sent_s
         if self._undelivered_bytes:
             self._progress_s = get_running_loop().time()
+        self._sent_s = self._progress_s
         # With a limit of 0, resume_writing reports that nothing is unsent.
         transport.set_write_buffer_limits(0)
         with suppress(OSError):
@@ -53,6 +57,19 @@
         transport.resume_reading()
         self._check()
 
+    @property
+    def holds_drain(self) -> bool:
+        """Whether a daemon that stops has to wait for this connection.
+
+        What the system has accepted, it sends also after the process has
+        ended, unless the peer sends something; a peer that has just got its
+        last response may still do so.
+        """
+        if self._transport.get_write_buffer_size():
+            return True
+        deadline_s = closing_deadline_s(0, self._sent_s, 0)
+        return get_running_loop().time() < deadline_s
+
     def cancel(self) -> None:
         """Stop the timer: the connection is closed."""
         if self._timer is not None:
@@ -64,6 +81,9 @@
         if undelivered_bytes < self._undelivered_bytes:
             self._progress_s = loop.time()
         self._undelivered_bytes = undelivered_bytes
+        if self._transport.get_write_buffer_size():
+            self._sent_s = loop.time()
+        self._on_check()
         deadline_s = closing_deadline_s(
             undelivered_bytes, self._progress_s, self._stall_timeout_s()
         )
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -227,11 +227,9 @@
     @property
     def busy(self) -> bool:
         """Whether a response is due, unsent, or maybe not received yet."""
-        return (
-            bool(self._exchanges)
-            or self._lingering_close is not None
-            or self._count_unsent_bytes() > 0
-        )
+        if self._lingering_close is not None:
+            return self._lingering_close.holds_drain
+        return bool(self._exchanges) or self._count_unsent_bytes() > 0
 
     def watch_flush(self) -> None:
         """Report progress once all written bytes are sent."""
@@ -411,6 +409,7 @@
             self._last_response_s,
             self._stall_timeout_s,
             lambda: self.abort(CloseReason.STALLED),
+            self._listener.report_progress,
         )
 
     def _send_close_notice(self) -> None:
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -118,6 +118,11 @@
         self._source.close()
         await super().close()
 
+    async def drain(self) -> None:
+        """Refuse followers: they have to find another daemon."""
+        self._stopping = True
+        self._update_serving()
+
     @handlers.on(OwnServerChanged)
     def handle_own_server(self, message: OwnServerChanged) -> None:
         """Update this server's entry; write it to the store if it differs."""
--- a/bergamotshunt/tests/test_mesh_closing.py
+++ b/bergamotshunt/tests/test_mesh_closing.py
@@ -142,3 +142,40 @@
             assert float(response.by_name[b'retry-after']) > 0
 
     asyncio.run(run_scenario())
+
+
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+def test_bytes_that_the_system_sends_do_not_hold_a_drain(
+    runner_factory: Callable[[], asyncio.Runner],
+) -> None:
+    """Guards against a stop that lasts as long as its slowest client reads.
+
+    The system has accepted the response, and the client goes on to read it.
+    """
+    responded = asyncio.Event()
+
+    async def respond(exchange: Exchange) -> None:
+        exchange.respond(200, [], CONTENT)
+        responded.set()
+
+    async def run_scenario() -> bool:
+        listener = Listener(respond)
+        port = await listener.open('127.0.0.1', 0)
+        async with SlowClient('127.0.0.1', port) as client:
+            await client.send(REQUEST)
+            await responded.wait()
+            reading = asyncio.create_task(read_for_long(client))
+            listener.close_idle()
+            async with asyncio.timeout(20):
+                await listener.wait_until_idle()
+            is_read = reading.done()
+            reading.cancel()
+        await listener.close()
+        return is_read
+
+    async def read_for_long(client: SlowClient) -> None:
+        while await client.read():
+            await asyncio.sleep(0.05)
+
+    with runner_factory() as runner:
+        assert not runner.run(run_scenario())
