Notice within 1.5 s that the store does not answer the root

The store turned the root away silently 0.2 s before a change. Its renewal failed 1.3 s later, but its followers were refused only after the next one, since the failure was recorded after the feed had been updated; all other daemons had the change 2.3 s after it was accepted. Change: a failed renewal is recorded first, so followers are refused at once. A daemon that watches the store renews every 0.5 s in place of 1.6 s, at a tenth of a call each, so silence is noticed after 1.5 s at most. The mesh of the tests shares the port for peers, and another port of a host could take its number (address in use, once); it is chosen apart now.

--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -228,6 +228,7 @@
 
     def _handle_reading(self, reading: bool) -> None:
         self._watch_failed = False
+        self._keeper.update_reading(reading=reading)
         self._update_serving()
         self.bus.publish(StoreReadingChanged(reading))
 
--- a/bergamotshunt/store/own_entry.py
+++ b/bergamotshunt/store/own_entry.py
@@ -21,6 +21,9 @@
 LEASE_MS: Final = 5000
 # Three renewals fall into one lease, so a failed one does not end it.
 RENEW_INTERVAL_S: Final = 1.6
+# The root notices with its renewals that the store does not answer, and its
+# followers have to turn elsewhere before a change has to be in force.
+ROOT_RENEW_INTERVAL_S: Final = 0.5
 # A lease is renewed early once this share of the interval has passed.
 RENEWAL_DUE_SHARE: Final = 0.9
 # One attempt finds the lease ended, the next one may find a conflict.
@@ -42,6 +45,7 @@
         renewed_s: Monotonic time of the last renewal, in seconds.
         written: Entry known to be in the store; None when unknown.
         ended_leases: Number of leases that ended without being revoked.
+        renew_interval_s: Time between two renewals, in seconds.
     """
 
     def __init__(
@@ -57,6 +61,7 @@
         self.renewed_s: float = 0
         self.written: ServerEntry | None = None
         self.ended_leases = 0
+        self.renew_interval_s = RENEW_INTERVAL_S
         self._store = store
         self._lease_ms = lease_ms
         self._clock = clock
@@ -126,7 +131,8 @@
     async def _renew_or_grant_lease(self) -> None:
         now_s = self._clock()
         if self.lease:
-            if now_s - self.renewed_s < RENEW_INTERVAL_S * RENEWAL_DUE_SHARE:
+            min_age_s = self.renew_interval_s * RENEWAL_DUE_SHARE
+            if now_s - self.renewed_s < min_age_s:
                 return
             await self._store.renew_lease(self.lease)
         else:
--- a/bergamotshunt/store/own_entry_keeper.py
+++ b/bergamotshunt/store/own_entry_keeper.py
@@ -12,6 +12,7 @@
 from bergamotshunt.routing import ServerEntry
 from bergamotshunt.store.own_entry import (
     RENEW_INTERVAL_S,
+    ROOT_RENEW_INTERVAL_S,
     OwnEntry,
     is_changed,
 )
@@ -87,6 +88,13 @@
         self._slot_share = share
         self._write_if_changed()
 
+    def update_reading(self, *, reading: bool) -> None:
+        """Renew more often while this daemon watches the store for others."""
+        self._own_entry.renew_interval_s = (
+            ROOT_RENEW_INTERVAL_S if reading else RENEW_INTERVAL_S
+        )
+        self._changed.set()
+
     def rewrite(self) -> None:
         """Write the entry again: its lease has ended."""
         self._own_entry.mark_expired()
@@ -140,16 +148,16 @@
         try:
             await self._revoke_or_write()
         except StoreError as error:
-            self._observer.on_result(error)
             self._record_call(started_s, failed=True)
+            self._observer.on_result(error)
             return self._retry_delay_s(started_s)
-        self._observer.on_result(None)
         if own.ended_leases > ended_leases:
             # The store has not heard of this daemon for the whole lease.
             self._record_call(started_s, failed=True)
         if own.renewed_s > renewed_s:
             self._record_call(own.renewed_s, failed=False)
-        return RENEW_INTERVAL_S
+        self._observer.on_result(None)
+        return own.renew_interval_s
 
     async def _revoke_or_write(self) -> None:
         if self._revoking:
--- a/bergamotshunt/tests/mesh.py
+++ b/bergamotshunt/tests/mesh.py
@@ -57,6 +57,14 @@
         return [bound.getsockname()[1] for bound in sockets]
 
 
+def other_free_ports(ip: str, count: int, taken: list[int]) -> list[int]:
+    """Return free ports; none of them is taken for all hosts."""
+    while True:
+        ports = free_ports(ip, count)
+        if not set(ports) & set(taken):
+            return ports
+
+
 def configuration(version: int, *routes: dict[str, Any]) -> str:
     entries = [
         {
@@ -131,7 +139,7 @@
         server = MeshServer(f'i-{number}', behaviour)
         await server.open(ip)
         datagram_port, inbound = peer_ports
-        outbound, control, ready, metrics = free_ports(ip, 4)
+        outbound, control, ready, metrics = other_free_ports(ip, 4, peer_ports)
         settings = MeshSettings(
             daemon_id=f'daemon-{number}',
             ip=ip,
--- a/bergamotshunt/tests/test_mesh_feed.py
+++ b/bergamotshunt/tests/test_mesh_feed.py
@@ -158,6 +158,35 @@
     run_with_followers(scenario)
 
 
+def test_configuration_is_in_force_beside_a_root_that_hears_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against followers of a root whose store has fallen silent.
+
+    The store answers none of its calls any more, and all of the others; the
+    configuration changes at that moment.
+    """
+
+    async def scenario(mesh: Mesh, root: int) -> None:
+        fleet = fleet_of(mesh, root)
+        routes = mesh.hosts[root].kernel.tasks_by_name['routes']
+        assert isinstance(routes, RoutesTask)
+        silenced = (fleet._store, routes._store)
+        send = StoreClient._send
+
+        async def send_or_wait(client: StoreClient, *call: Any) -> Any:
+            if client in silenced:
+                await asyncio.Event().wait()
+            return await send(client, *call)
+
+        # The calls that are pending are lost, too.
+        mesh.store.forget_pending()
+        monkeypatch.setattr(StoreClient, '_send', send_or_wait)
+        await change_configuration(mesh, others(root))
+
+    run_with_followers(scenario)
+
+
 def test_entries_that_lapsed_are_back_everywhere() -> None:
     """Guards against followers that miss entries after an outage."""
 
