--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -115,9 +115,13 @@
     return first, fields, body
 
 
-def encode_message(first, fields, body=b''):
+def encode_message(first, fields, body=b'', chunked=False):
     lines = [first, *(f'{name}: {text}' for name, text in fields.items())]
-    lines.append(f'Content-Length: {len(body)}')
+    if chunked:
+        lines.append('Transfer-Encoding: chunked')
+        body = b'%x\r\n%b\r\n0\r\n\r\n' % (len(body), body)
+    else:
+        lines.append(f'Content-Length: {len(body)}')
     return '\r\n'.join([*lines, '', '']).encode('latin-1') + body
 
 
@@ -746,6 +750,7 @@
                 f'{method} {path} HTTP/1.1',
                 fields | options.get('fields', {}),
                 options.get('body', b''),
+                options.get('chunked', False),
             ),
             options.get('patience_s', timeout_ms / 1000),
         )
