Remember over a restart that a server has left

Cause: that an incarnation had deregistered was known to the running process only. At a planned stop the entry of a leaving server was deleted from the store, and the next process took a late heartbeat as the first one. Where the entry was still there, after SIGKILL, the control task did not look at it.

Change: `deregistered` is a state of the entry, final for its incarnation. The entry of a leaving server is kept at the stop, under a lease of 30 s, and written before the acknowledgement (for 0.5 s at most). A process reads its own entry before it writes it and before it takes an announcement (0.4 s at most), and a deregistration also ends a server known from the store only. The state is compared in the table of all servers too, so a late report of another daemon does not revive the server. Reading the entry first replaces the conflict that each restart had with its first write; revoking the lease at the stop is gone.

test_mesh_drain.py expected the state `leaving` after a deregistration; it now expects `deregistered`, and that no request is accepted.

--- a/bergamotshunt/backend/own_server.py
+++ b/bergamotshunt/backend/own_server.py
@@ -12,7 +12,7 @@
     SlotLimitEstimator,
 )
 from bergamotshunt.peers.peer_calls import PeerCall
-from bergamotshunt.routing import AnnouncedState, ServerEntry
+from bergamotshunt.routing import ServerEntry
 
 # A run was at the baseline pace if its duration and its work differ by less
 # than this share.
@@ -94,7 +94,7 @@
         self.entry = entry
         self.work_estimator.cold_until_ms = self.now_ms() + entry.cold_ms
         self._set_limit(entry)
-        if entry.state is AnnouncedState.LEAVING:
+        if entry.is_leaving:
             self.slot_queue.refuse_all('leaving')
         return is_new
 
@@ -127,7 +127,7 @@
         entry = self.entry
         if entry is None or entry.instance != call.instance:
             raise RefusedError(Refusal('other-instance'))
-        if entry.state is AnnouncedState.LEAVING:
+        if entry.is_leaving:
             raise RefusedError(Refusal('leaving'))
         if self.down:
             raise RefusedError(Refusal('server-down'))
@@ -150,7 +150,7 @@
             pace=round(self.work_estimator.pace, 2),
             work_ms=round(self.work_estimator.typical_work_ms, 1),
             cold_ms=self.work_estimator.cold_ms(now_ms),
-            serving=is_up and entry.state is AnnouncedState.READY,
+            serving=is_up and not entry.is_leaving,
             outlook=self.work_estimator.phase_estimator.forecast(now_ms),
         )
 
--- a/bergamotshunt/choice/server_records.py
+++ b/bergamotshunt/choice/server_records.py
@@ -10,7 +10,7 @@
 from bergamotshunt.decisions.server_subsets import choose_subsets
 from bergamotshunt.decisions.work_meter import WorkMeter, effective_pace
 from bergamotshunt.http.client_pool import ClientPool
-from bergamotshunt.routing import AnnouncedState, ServerEntry
+from bergamotshunt.routing import ServerEntry
 
 MS_PER_S: Final = 1000
 # A load report cannot count requests sent this shortly before it arrived.
@@ -113,7 +113,7 @@
     def is_usable(self, now_s: float) -> bool:
         """Return whether the server may get a request."""
         return (
-            self.entry.state is AnnouncedState.READY
+            not self.entry.is_leaving
             and now_s - self._unreachable_at_s > UNREACHABLE_RETRY_S
         )
 
--- a/bergamotshunt/decisions/announcements.py
+++ b/bergamotshunt/decisions/announcements.py
@@ -9,9 +9,9 @@
     """Return whether an announcement replaces the latest one.
 
     A later incarnation replaces an earlier one. Within an incarnation the
-    sequence number decides, since announcements can arrive late. Two
-    instances with the same start time cannot be ordered, so the one whose
-    announcement arrives last is taken.
+    sequence number decides, since announcements can arrive late, but none
+    replaces a deregistration. Two instances with the same start time cannot
+    be ordered, so the one whose announcement arrives last is taken.
     """
     if latest is None:
         return True
@@ -19,6 +19,11 @@
         return entry.born_ms > latest.born_ms
     if entry.instance != latest.instance:
         return True
+    # Without its start time, an incarnation cannot be distinguished from the
+    # next one of the same instance, which may serve again.
+    if entry.born_ms and entry.state != latest.state:
+        if AnnouncedState.DEREGISTERED in {entry.state, latest.state}:
+            return latest.state is not AnnouncedState.DEREGISTERED
     return entry.sequence > latest.sequence
 
 
@@ -34,40 +39,40 @@
     def __init__(self) -> None:
         """Create the state before the first announcement."""
         self.latest: ServerEntry | None = None
-        self._deregistered_incarnation: tuple[str, int] | None = None
+        self._stored: ServerEntry | None = None
 
     def record(self, entry: ServerEntry) -> bool:
         """Record an announcement.
 
-        An announcement that was sent before the deregistration of its
-        incarnation may arrive after it; it does not revive the incarnation.
-
         Returns:
             Whether it is newer than the latest one.
         """
-        incarnation = (entry.instance, entry.born_ms)
-        if (
-            incarnation == self._deregistered_incarnation
-            and entry.state is AnnouncedState.READY
-        ):
-            return False
         if not is_newer_announcement(entry, self.latest):
             return False
         self.latest = entry
         return True
 
+    def restore(self, stored: ServerEntry) -> bool:
+        """Record the entry that an earlier process of this daemon stored.
+
+        A server that was ready may have ended since, so its entry is only
+        kept for its deregistration.
+
+        Returns:
+            Whether the server leaves and the entry is newer than the latest
+            announcement.
+        """
+        self._stored = stored
+        return stored.is_leaving and self.record(stored)
+
     def record_deregistration(self, instance: str) -> bool:
         """Record the deregistration of an instance of the server.
 
         Returns:
             Whether the latest announcement is of this instance.
         """
-        latest = self.latest
+        latest = self.latest or self._stored
         if latest is None or latest.instance != instance:
             return False
-        # Without its start time, an incarnation cannot be distinguished
-        # from the next one of the same instance.
-        if latest.born_ms:
-            self._deregistered_incarnation = (latest.instance, latest.born_ms)
-        self.latest = latest._replace(state=AnnouncedState.LEAVING)
+        self.latest = latest._replace(state=AnnouncedState.DEREGISTERED)
         return True
--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -37,14 +37,17 @@
     entry: ServerEntry
 
 
-class StoredServerFound(NamedTuple):
-    """The store still has the entry that an earlier process wrote.
+class StoredServerRead(NamedTuple):
+    """The store has told what an earlier process of this daemon wrote.
+
+    Its server may still run, and the estimates in the entry then still hold.
 
     Attributes:
-        entry: The entry of the backend server on this host.
+        entry: The entry of the backend server on this host; None if the
+            store has none.
     """
 
-    entry: ServerEntry
+    entry: ServerEntry | None
 
 
 class OwnLoadChanged(NamedTuple):
--- a/bergamotshunt/platform/store.py
+++ b/bergamotshunt/platform/store.py
@@ -193,14 +193,6 @@
         """
         await self._call('POST', f'/-/kv-keep/{lease}')
 
-    async def revoke_lease(self, lease: int) -> None:
-        """Revoke a lease, which deletes its keys.
-
-        Raises:
-            StoreError: The call failed.
-        """
-        await self._call('DELETE', f'/-/kv-lease-end/{lease}')
-
     async def write(self, change: Write) -> int:
         """Write a key if it has the expected revision.
 
--- a/bergamotshunt/plugins/mesh/control.py
+++ b/bergamotshunt/plugins/mesh/control.py
@@ -1,5 +1,6 @@
 """Control: receives announcements of the backend server on this host."""
 
+from asyncio import Event, timeout
 from http import HTTPStatus
 from typing import Final
 
@@ -9,7 +10,7 @@
 from bergamotshunt.http.heads import Header
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.log import log_event
-from bergamotshunt.mesh_messages import OwnServerChanged
+from bergamotshunt.mesh_messages import OwnServerChanged, StoredServerRead
 from bergamotshunt.mesh_task import ListeningTask, settings_of
 from bergamotshunt.platform.announcements import (
     ACKNOWLEDGEMENT_BODY,
@@ -20,6 +21,8 @@
 from bergamotshunt.routing import ServerEntry
 
 MAX_BODY_BYTES: Final = 4096
+# A server counts an announcement as lost after a second without a response.
+STORED_SERVER_TIMEOUT_S: Final = 0.4
 JSON_CONTENT_TYPE: Final[Header] = (b'Content-Type', b'application/json')
 
 
@@ -33,12 +36,22 @@
         """Create the task; ``open`` binds the socket."""
         super().__init__(context, settings_of(context).control)
         self._announcements = LatestAnnouncement()
+        self._stored_server_read = Event()
 
     @handlers.on(OwnServerChanged)
     def handle_own_server(self, message: OwnServerChanged) -> None:
         """Store the server's entry, to compare later announcements with."""
         self._announcements.record(message.entry)
 
+    @handlers.on(StoredServerRead)
+    def handle_stored_server(self, message: StoredServerRead) -> None:
+        """Apply that the server leaves, as an earlier process has heard."""
+        stored = message.entry
+        if stored is not None and self._announcements.restore(stored):
+            self._log_server('control:leaving-restored', stored)
+            self.bus.publish(OwnServerChanged(stored))
+        self._stored_server_read.set()
+
     async def serve(self, exchange: Exchange) -> None:
         """Serve an announcement or a deregistration."""
         path = exchange.head.target.decode('latin-1').partition('?')[0]
@@ -50,6 +63,7 @@
             body = await exchange.body.read_up_to(MAX_BODY_BYTES)
         except IncompleteBodyError:
             return
+        await self._wait_for_stored_server()
         match exchange.head.method:
             case b'PUT':
                 status = await self._handle_announcement(instance, body)
@@ -59,6 +73,19 @@
                 status = HTTPStatus.METHOD_NOT_ALLOWED
         exchange.respond(status, [JSON_CONTENT_TYPE], ACKNOWLEDGEMENT_BODY)
 
+    async def _wait_for_stored_server(self) -> None:
+        """Wait for what an earlier process has heard, but not for long.
+
+        An announcement may be older than that. While the store does not
+        answer, the server still needs an acknowledgement.
+        """
+        try:
+            async with timeout(STORED_SERVER_TIMEOUT_S):
+                await self._stored_server_read.wait()
+        except TimeoutError:
+            log_event('control:stored-server-unknown')
+            self._stored_server_read.set()
+
     async def _handle_announcement(
         self,
         instance: str,
@@ -101,16 +128,19 @@
             entry.instance,
             entry.state,
         ):
-            log_event(
-                'control:server-changed',
-                instance=entry.instance,
-                state=entry.state.value,
-                service=entry.service,
-                born_ms=entry.born_ms,
-                sequence=entry.sequence,
-            )
+            self._log_server('control:server-changed', entry)
         await self.bus.ask_all(OwnServerChanged(entry))
 
+    def _log_server(self, name: str, entry: ServerEntry) -> None:
+        log_event(
+            name,
+            instance=entry.instance,
+            state=entry.state.value,
+            service=entry.service,
+            born_ms=entry.born_ms,
+            sequence=entry.sequence,
+        )
+
 
 @MESH_PLUGINS.register('control')
 def create_control(context: Context) -> ControlTask:
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -25,7 +25,7 @@
     SlotShareEstimated,
     StopRequested,
     StoreContactChanged,
-    StoredServerFound,
+    StoredServerRead,
     StoreReadingChanged,
 )
 from bergamotshunt.mesh_task import MeshTask
@@ -77,7 +77,11 @@
         )
         self._keeper = OwnEntryKeeper(
             self._own_entry,
-            EntryObserver(self._set_store_state, self._handle_recovery),
+            EntryObserver(
+                self._set_store_state,
+                self._handle_recovery,
+                self._publish_stored_own,
+            ),
             context.clock,
             context.rng,
         )
@@ -124,12 +128,18 @@
         self._update_serving()
 
     @handlers.on(OwnServerChanged)
-    def handle_own_server(self, message: OwnServerChanged) -> None:
-        """Update this server's entry; write it to the store if it differs."""
+    async def handle_own_server(self, message: OwnServerChanged) -> None:
+        """Update this server's entry; write it to the store if it differs.
+
+        That the server leaves is written before the reply: the next process
+        of this daemon has to know what was acknowledged.
+        """
         self._keeper.update_server(message.entry)
         entry = self._keeper.server or message.entry
         self._known_servers.apply_report(entry, self.context.clock())
         self._publish()
+        if entry.is_leaving:
+            await self._keeper.wait_until_written(entry)
 
     @handlers.on(SlotShareEstimated)
     def update_slot_share(self, message: SlotShareEstimated) -> None:
@@ -162,10 +172,13 @@
 
     @handlers.on(StopRequested)
     def handle_stop(self, _message: StopRequested) -> None:
-        """Revoke the lease of a leaving or deregistered server."""
+        """Refuse followers from now on.
+
+        The entry of the server is kept: the next process of this daemon
+        finds there whether the server serves or leaves.
+        """
         self._stopping = True
         self._update_serving()
-        self._keeper.stop()
 
     def update_gauges(self) -> None:
         """Update the gauges of the lease and the store."""
@@ -267,7 +280,6 @@
             return
         entries = list(filter(None, map(self._decode, listing.items)))
         self._known_servers.apply_listing(entries, self.context.clock())
-        self._publish_stored_own(entries)
         self._own_entry.apply_listing(listing.items)
         self._handle_news()
         self._update_serving()
@@ -290,15 +302,9 @@
         self._publish()
         self._feed.notify()
 
-    def _publish_stored_own(self, entries: list[ServerEntry]) -> None:
-        """Publish this host's entry that an earlier process wrote.
-
-        Its server may still run, and the estimates in the entry then still
-        hold.
-        """
-        for entry in entries:
-            if entry.ip == self.mesh.ip:
-                self.bus.publish(StoredServerFound(entry))
+    def _publish_stored_own(self, entry: ServerEntry | None) -> None:
+        """Publish this host's entry that an earlier process wrote."""
+        self.bus.publish(StoredServerRead(entry))
 
     def _apply_change(self, item: Item) -> None:
         now_s = self.context.clock()
--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -20,7 +20,7 @@
     OwnServerChanged,
     RoutingChanged,
     SlotShareEstimated,
-    StoredServerFound,
+    StoredServerRead,
 )
 from bergamotshunt.mesh_task import ListeningTask, settings_of
 from bergamotshunt.peers.peer_calls import (
@@ -32,7 +32,7 @@
 from bergamotshunt.peers.entry_feed import FEED_PATH
 from bergamotshunt.peers.feed_serving import serve_feed
 from bergamotshunt.platform.requests import ServerResponseInfo
-from bergamotshunt.routing import AnnouncedState, Routing, ServerEntry
+from bergamotshunt.routing import Routing, ServerEntry
 
 MS_PER_S: Final = 1000
 PROBE_TIMEOUT_S: Final = 0.5
@@ -110,9 +110,11 @@
             self._server_client.close()
         self._publish_load()
 
-    @handlers.on(StoredServerFound)
-    def handle_stored_server(self, message: StoredServerFound) -> None:
+    @handlers.on(StoredServerRead)
+    def handle_stored_server(self, message: StoredServerRead) -> None:
         """Store an earlier entry; a probe shows if its server still runs."""
+        if message.entry is None:
+            return
         self._server.restore_slot_share(message.entry)
         if self._server.entry is None:
             self._stored_entry = message.entry
@@ -279,7 +281,7 @@
         stored = self._stored_entry
         if stored is None or stored.instance != info.instance:
             return
-        if info.healthy and stored.state is AnnouncedState.READY:
+        if info.healthy and not stored.is_leaving:
             self._stored_entry = None
             log_event('inbound:server-adopted', instance=stored.instance)
             self.bus.publish(OwnServerChanged(stored))
--- a/bergamotshunt/routing.py
+++ b/bergamotshunt/routing.py
@@ -134,6 +134,8 @@
 
     READY = 'ready'
     LEAVING = 'leaving'
+    # Final: no announcement of the same incarnation follows.
+    DEREGISTERED = 'deregistered'
 
 
 class ServerEntry(NamedTuple):
@@ -172,7 +174,7 @@
     @property
     def is_leaving(self) -> bool:
         """Whether the server accepts no new requests."""
-        return self.state is AnnouncedState.LEAVING
+        return self.state is not AnnouncedState.READY
 
 
 def check_routing(routing: Routing) -> Routing:
--- a/bergamotshunt/store/own_entry.py
+++ b/bergamotshunt/store/own_entry.py
@@ -1,9 +1,11 @@
 """Store entry of the local backend server, bound to a lease."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Final
 
 from bergamotshunt.platform.announcements import (
+    AnnouncementError,
     decode_entry,
     encode_entry,
     entry_key,
@@ -19,6 +21,9 @@
 from bergamotshunt.stored_items import Item
 
 LEASE_MS: Final = 5000
+# The entry of a server that leaves outlasts a slow restart of its daemon: the
+# next process has to know that late announcements of the server are void.
+LEAVING_LEASE_MS: Final = 30_000
 # Three renewals fall into one lease, so a failed one does not end it.
 RENEW_INTERVAL_S: Final = 1.6
 # The root notices with its renewals that the store does not answer, and its
@@ -36,7 +41,8 @@
     Args:
         store: Client of the store.
         ip: Address of the host, which the key is derived from.
-        lease_ms: Time to live of the lease, in milliseconds.
+        lease_ms: Time to live of the lease of a ready server, in
+            milliseconds.
         clock: Returns the monotonic time in seconds.
 
     Attributes:
@@ -44,7 +50,7 @@
         lease: Id of the lease; 0 without one.
         renewed_s: Monotonic time of the last renewal, in seconds.
         written: Entry known to be in the store; None when unknown.
-        ended_leases: Number of leases that ended without being revoked.
+        ended_leases: Number of leases that ended.
         renew_interval_s: Time between two renewals, in seconds.
     """
 
@@ -64,6 +70,7 @@
         self.renew_interval_s = RENEW_INTERVAL_S
         self._store = store
         self._lease_ms = lease_ms
+        self._granted_ms = 0
         self._clock = clock
         self._revision: int | None = 0
 
@@ -85,16 +92,19 @@
             else:
                 return
 
-    async def revoke(self) -> None:
-        """Revoke the lease, which deletes the entry.
+    async def read(self) -> ServerEntry | None:
+        """Return the entry that an earlier process wrote, if there is one.
 
         Raises:
             StoreError: The call to the store failed.
         """
-        lease = self.lease
-        self.lease = 0
-        if lease:
-            await self._store.revoke_lease(lease)
+        listing = await self._store.list_items(self.key)
+        self.apply_listing(listing.items)
+        for found in listing.items:
+            if found.key == self.key and found.content is not None:
+                with suppress(AnnouncementError):
+                    return decode_entry(found.content)
+        return None
 
     def apply_listing(self, items: tuple[Item, ...]) -> None:
         """Read the revision from a listing if the entry is unknown."""
@@ -119,7 +129,7 @@
 
     async def _try_renew_and_write(self, entry: ServerEntry) -> None:
         try:
-            await self._renew_or_grant_lease()
+            await self._renew_or_grant_lease(self._lease_ms_of(entry))
             if is_changed(entry, self.written):
                 await self._write(entry)
         except LeaseEndedError:
@@ -128,15 +138,23 @@
             self.ended_leases += 1
             raise
 
-    async def _renew_or_grant_lease(self) -> None:
+    def _lease_ms_of(self, entry: ServerEntry) -> int:
+        if entry.is_leaving:
+            return max(self._lease_ms, LEAVING_LEASE_MS)
+        return self._lease_ms
+
+    async def _renew_or_grant_lease(self, lease_ms: int) -> None:
+        """Renew the lease if due; grant one if none has this duration."""
         now_s = self._clock()
-        if self.lease:
+        if self.lease and self._granted_ms == lease_ms:
             min_age_s = self.renew_interval_s * RENEWAL_DUE_SHARE
             if now_s - self.renewed_s < min_age_s:
                 return
             await self._store.renew_lease(self.lease)
         else:
-            self.lease = (await self._store.grant_lease(self._lease_ms)).id
+            # The entry moves to the new lease; an old one ends by itself.
+            self.lease = (await self._store.grant_lease(lease_ms)).id
+            self._granted_ms = lease_ms
             self.written = None
         self.renewed_s = now_s
 
--- a/bergamotshunt/store/own_entry_keeper.py
+++ b/bergamotshunt/store/own_entry_keeper.py
@@ -1,6 +1,6 @@
 """Keeps the entry of the local server in the store: lease, writes, contact."""
 
-from asyncio import Event, timeout
+from asyncio import Condition, Event, sleep, timeout
 from collections.abc import Callable
 from contextlib import suppress
 from math import inf
@@ -25,6 +25,8 @@
 # The slot share is only read after a restart. Each write of it costs a call,
 # and one more at each reader of the store.
 SLOT_SHARE_INTERVAL_S: Final = 15.0
+# A server counts an announcement as lost after a second without a response.
+WRITE_WAIT_TIMEOUT_S: Final = 0.5
 
 
 class EntryObserver(NamedTuple):
@@ -33,10 +35,13 @@
     Attributes:
         on_result: Takes the error of a failed update; None after success.
         on_recovery: Takes the contact when the store answers again.
+        on_stored: Takes the entry that an earlier process wrote, or None,
+            once the store has told.
     """
 
     on_result: Callable[[StoreError | None], None]
     on_recovery: Callable[[StoreContact], None]
+    on_stored: Callable[[ServerEntry | None], None]
 
 
 class OwnEntryKeeper:
@@ -68,8 +73,9 @@
         self._server: ServerEntry | None = None
         self._slot_share: float = 0
         self._slot_share_due_s = -inf
-        self._revoking = False
+        self._retry_delay_s = RETRY_DELAY_S
         self._changed = Event()
+        self._written = Condition()
 
     @property
     def server(self) -> ServerEntry | None:
@@ -100,18 +106,23 @@
         self._own_entry.mark_expired()
         self._changed.set()
 
-    def stop(self) -> None:
-        """Revoke the lease of a server that leaves, or of none.
+    async def wait_until_written(self, entry: ServerEntry) -> None:
+        """Wait until the store has a server's announced state, but not long.
 
-        The entry of a server that still runs is kept, so that the next
-        process of this daemon finds it and serves at once.
+        While the store does not answer, the server still needs a response.
         """
-        server = self._server
-        self._revoking = server is None or server.is_leaving
-        self._changed.set()
+        with suppress(TimeoutError):
+            async with timeout(WRITE_WAIT_TIMEOUT_S), self._written:
+                await self._written.wait_for(lambda: self._is_written(entry))
 
     async def run(self) -> None:
-        """Keep the entry until the task is cancelled."""
+        """Keep the entry until the task is cancelled.
+
+        It is read first: what an earlier process wrote may tell that the
+        server has left, and must not be overwritten before.
+        """
+        while not await self._read():
+            await sleep(self._retry_delay_s)
         while True:
             wait_s = await self._update()
             # asyncio.wait_for of Python 3.11 can swallow a cancellation that
@@ -121,6 +132,30 @@
                     await self._changed.wait()
                     self._changed.clear()
 
+    async def _read(self) -> bool:
+        """Read the entry that an earlier process wrote.
+
+        Returns:
+            Whether the store has told.
+        """
+        started_s = self._clock()
+        try:
+            stored = await self._own_entry.read()
+        except StoreError as error:
+            self._handle_failure(started_s, error)
+            return False
+        self._record_call(started_s, failed=False)
+        self._observer.on_result(None)
+        self._observer.on_stored(stored)
+        return True
+
+    def _is_written(self, entry: ServerEntry) -> bool:
+        written = self._own_entry.written
+        return written is not None and (
+            (written.instance, written.born_ms, written.state)
+            == (entry.instance, entry.born_ms, entry.state)
+        )
+
     def _write_if_changed(self) -> None:
         entry = self._entry_to_write()
         if entry is not None and is_changed(entry, self._own_entry.written):
@@ -146,11 +181,12 @@
         own = self._own_entry
         renewed_s, ended_leases = own.renewed_s, own.ended_leases
         try:
-            await self._revoke_or_write()
+            await self._renew_and_write()
         except StoreError as error:
-            self._record_call(started_s, failed=True)
-            self._observer.on_result(error)
-            return self._retry_delay_s(started_s)
+            self._handle_failure(started_s, error)
+            return self._retry_delay_s
+        async with self._written:
+            self._written.notify_all()
         if own.ended_leases > ended_leases:
             # The store has not heard of this daemon for the whole lease.
             self._record_call(started_s, failed=True)
@@ -159,10 +195,7 @@
         self._observer.on_result(None)
         return own.renew_interval_s
 
-    async def _revoke_or_write(self) -> None:
-        if self._revoking:
-            await self._own_entry.revoke()
-            return
+    async def _renew_and_write(self) -> None:
         entry = self._entry_to_write()
         if entry is None:
             return
@@ -172,11 +205,13 @@
         if entry.slot_share != before:
             self._slot_share_due_s = self._clock() + SLOT_SHARE_INTERVAL_S
 
-    def _retry_delay_s(self, started_s: float) -> float:
-        """Return the delay after a failed call that started at a time."""
+    def _handle_failure(self, started_s: float, error: StoreError) -> None:
+        """Record a failed call and set the delay of the next attempt."""
+        self._record_call(started_s, failed=True)
+        self._observer.on_result(error)
         took_s = self._clock() - started_s
         delay_s = max(RETRY_DELAY_S - took_s, MIN_RETRY_DELAY_S)
-        return delay_s * self._rng.uniform(*RETRY_JITTER)
+        self._retry_delay_s = delay_s * self._rng.uniform(*RETRY_JITTER)
 
     def _record_call(self, sent_s: float, *, failed: bool) -> None:
         """Record a renewal of the lease; watches may have to be asked again."""
--- a/bergamotshunt/tests/test_mesh_drain.py
+++ b/bergamotshunt/tests/test_mesh_drain.py
@@ -123,5 +123,22 @@
     )
     known = announcements.latest
     assert known is not None
-    assert known.state is AnnouncedState.LEAVING
+    assert known.state is AnnouncedState.DEREGISTERED
+    assert known.is_leaving
+    assert announcements.record(announcement('i', 6, 1, AnnouncedState.READY))
+
+
+def test_deregistration_of_a_stored_server_is_recorded() -> None:
+    """Guards against a deregistration that a new process does not record.
+
+    The process has heard nothing of the server, which deregisters before its
+    next heartbeat. A heartbeat from before arrives late.
+    """
+    announcements = LatestAnnouncement()
+    stored = announcement('i', 5, 1, AnnouncedState.READY)
+    assert not announcements.restore(stored)
+    assert announcements.record_deregistration('i')
+    assert not announcements.record(
+        announcement('i', 5, 2, AnnouncedState.READY)
+    )
     assert announcements.record(announcement('i', 6, 1, AnnouncedState.READY))
