Notice the lost answer of a watch within 2.5 s

Cause: one daemon, the root, watches the store for all, with a wait of 20 s and one second more for the answer. If just this answer is lost, nothing else tells of it: the renewals of the lease are answered, and no peer has a newer version.

Change: a watch waits 1.5 s, so a lost answer is noticed after 2.5 s. The wait doubles after each failure, up to 20 s, so that a store which answers nobody is not asked more often; an answer, or a recovery that the renewals show, resets it. The watch of the entries is the same code. It costs the whole fleet 1.3 calls a second, as only the root watches.

--- a/bergamotshunt/store/store_watch.py
+++ b/bergamotshunt/store/store_watch.py
@@ -16,7 +16,11 @@
 )
 from bergamotshunt.stored_items import Listing
 
-WATCH_TIMEOUT_MS: Final = 20_000
+# Only a missing answer shows that the store's answer to a watch was lost, so a
+# watch that is answered waits for a short time. While the store does not
+# answer, the renewals of the lease tell of its return.
+MIN_WAIT_MS: Final = 1500
+MAX_WAIT_MS: Final = 20_000
 # Range of the random factor that spreads the retries of the daemons.
 RETRY_JITTER: Final = (0.7, 1.3)
 
@@ -86,6 +90,7 @@
         self._rng = rng
         self._revision: int | None = None
         self._asked_s = inf
+        self._wait_ms = MIN_WAIT_MS
         self._abandon_requested = Event()
         self._enabled = Event()
         self._enabled.set()
@@ -103,6 +108,7 @@
         except HistoryGoneError:
             self._revision = None
         except StoreError as error:
+            self._wait_ms = min(2 * self._wait_ms, MAX_WAIT_MS)
             self._observer.on_failure(error)
             jitter = self._rng.uniform(*RETRY_JITTER)
             await sleep(self._timing.retry_delay_s * jitter)
@@ -123,6 +129,7 @@
     def update_contact(self, contact: StoreContact) -> None:
         """Ask again if other calls show that the pending watch is lost."""
         if is_watch_lost(self._asked_s, contact):
+            self._wait_ms = MIN_WAIT_MS
             self.abandon('store-was-away')
 
     def abandon(self, reason: str) -> None:
@@ -153,6 +160,7 @@
                 return
             listing = answer
             self._observer.on_changes(listing)
+        self._wait_ms = MIN_WAIT_MS
         self._revision = listing.revision
         self.answered_s = self._clock()
         await sleep(self._timing.batch_delay_s)
@@ -167,7 +175,7 @@
         self._abandon_requested.clear()
         self._asked_s = self._clock()
         watching = create_task(
-            self._store.watch(self._prefix, revision, WATCH_TIMEOUT_MS)
+            self._store.watch(self._prefix, revision, self._wait_ms)
         )
         abandoning = create_task(self._abandon_requested.wait())
         try:
--- a/bergamotshunt/tests/test_store_silence.py
+++ b/bergamotshunt/tests/test_store_silence.py
@@ -3,6 +3,7 @@
 import asyncio
 from math import inf
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -22,6 +23,9 @@
 
 # The users' figure for the time in which a configuration is in force.
 CONFIG_APPLY_S = 2.0
+# The users' figure for the time after a failure of the store in which a
+# configuration may be late.
+CONTACT_S = 3.0
 
 
 def test_configuration_is_in_force_after_a_silence_of_the_store() -> None:
@@ -48,6 +52,45 @@
     asyncio.run(run_scenario())
 
 
+@pytest.mark.parametrize('quiet_s', [0.2, 4.0])
+def test_configuration_is_in_force_after_a_lost_answer(quiet_s: float) -> None:
+    """Guards against a watch that waits for an answer that was lost.
+
+    The store answers all other calls, those of the same daemon as well, so
+    nothing else tells of the loss.
+    """
+
+    async def run_scenario() -> None:
+        async with Mesh([respond_with_echo, respond_with_echo]) as mesh:
+            await asyncio.sleep(quiet_s)
+            mesh.store.forget_pending()
+            await mesh.store.put(
+                'op/config', configuration(2, READ_ROUTE, BOOKING_ROUTE)
+            )
+            async with asyncio.timeout(CONTACT_S):
+                await mesh.wait_until(
+                    lambda: all(mesh.version(host) == 2 for host in (0, 1))
+                )
+
+    asyncio.run(run_scenario())
+
+
+def test_watches_are_rare_while_the_store_does_not_answer() -> None:
+    """Guards against watches that load a store which answers nobody."""
+
+    async def run_scenario() -> None:
+        async with Mesh([respond_with_echo]) as mesh:
+            mesh.store.fall_silent()
+            await asyncio.sleep(1.0)
+            mesh.store.calls.clear()
+            await asyncio.sleep(8.0)
+            watches = mesh.store.calls.count('/-/kv-watch')
+            # Two watches, each asked again after 1.5, 3 and 6 s and more.
+            assert watches <= 6
+
+    asyncio.run(run_scenario())
+
+
 def test_new_server_is_seen_after_a_silence_of_the_store() -> None:
     """Guards against a view of the fleet that stays as it was in a silence.
 
