Follow a server that starts while its clock is set back

Cause: incarnations are ordered by their start times, so the running one was taken for an earlier one whose heartbeats are late, for as long as the daemon ran.

Change: an incarnation with an earlier start time is accepted after two announcements in sequence once the latest one has been silent for 4 s. Its entry gets a start time after that of the latest one, as other daemons and the store compare entries by it. Until then, the announcement that it leaves is in force for an instance of the same name, and the next announcement of the latest incarnation undoes it, so one late message ends no server for longer than a heartbeat.

test_mesh_drain.py now applies what the state machine holds, as the control task does, and not the announcement itself; its invariants are as before.

--- a/bergamotshunt/plugins/mesh/control.py
+++ b/bergamotshunt/plugins/mesh/control.py
@@ -41,13 +41,14 @@
     @handlers.on(OwnServerChanged)
     def handle_own_server(self, message: OwnServerChanged) -> None:
         """Store the server's entry, to compare later announcements with."""
-        self._announcements.record(message.entry)
+        self._announcements.record(message.entry, self.context.clock())
 
     @handlers.on(StoredServerRead)
     def handle_stored_server(self, message: StoredServerRead) -> None:
         """Apply that the server leaves, as an earlier process has heard."""
         stored = message.entry
-        if stored is not None and self._announcements.restore(stored):
+        now_s = self.context.clock()
+        if stored is not None and self._announcements.restore(stored, now_s):
             self._log_server('control:leaving-restored', stored)
             self.bus.publish(OwnServerChanged(stored))
         self._stored_server_read.set()
@@ -101,8 +102,10 @@
             )
             return HTTPStatus.BAD_REQUEST
         before = self._announcements.latest
-        if self._announcements.record(entry):
-            await self._accept(entry, before)
+        is_newer = self._announcements.record(entry, self.context.clock())
+        latest = self._announcements.latest
+        if is_newer and latest is not None:
+            await self._accept(latest, before)
         return HTTPStatus.OK
 
     async def _handle_deregistration(self, instance: str) -> HTTPStatus:
--- a/bergamotshunt/tests/test_mesh_drain.py
+++ b/bergamotshunt/tests/test_mesh_drain.py
@@ -45,9 +45,11 @@
         self.newest_ms = 0
 
     def deliver(self, entry: ServerEntry) -> None:
-        if self.announcements.record(entry):
-            self.server.apply_announcement(entry)
-            self.newest_ms = max(self.newest_ms, entry.born_ms)
+        if self.announcements.record(entry, 0):
+            latest = self.announcements.latest
+            assert latest is not None
+            self.server.apply_announcement(latest)
+            self.newest_ms = max(self.newest_ms, latest.born_ms)
         if entry.state is AnnouncedState.LEAVING:
             self.leaving.add((entry.instance, entry.born_ms))
 
@@ -116,16 +118,20 @@
     leaving, while one of its heartbeats is delayed.
     """
     announcements = LatestAnnouncement()
-    assert announcements.record(announcement('i', 5, 1, AnnouncedState.READY))
+    assert announcements.record(
+        announcement('i', 5, 1, AnnouncedState.READY), 0
+    )
     assert announcements.record_deregistration('i')
     assert not announcements.record(
-        announcement('i', 5, 2, AnnouncedState.READY)
+        announcement('i', 5, 2, AnnouncedState.READY), 0
     )
     known = announcements.latest
     assert known is not None
     assert known.state is AnnouncedState.DEREGISTERED
     assert known.is_leaving
-    assert announcements.record(announcement('i', 6, 1, AnnouncedState.READY))
+    assert announcements.record(
+        announcement('i', 6, 1, AnnouncedState.READY), 0
+    )
 
 
 def test_deregistration_of_a_stored_server_is_recorded() -> None:
@@ -136,9 +142,11 @@
     """
     announcements = LatestAnnouncement()
     stored = announcement('i', 5, 1, AnnouncedState.READY)
-    assert not announcements.restore(stored)
+    assert not announcements.restore(stored, 0)
     assert announcements.record_deregistration('i')
     assert not announcements.record(
-        announcement('i', 5, 2, AnnouncedState.READY)
+        announcement('i', 5, 2, AnnouncedState.READY), 0
+    )
+    assert announcements.record(
+        announcement('i', 6, 1, AnnouncedState.READY), 0
     )
-    assert announcements.record(announcement('i', 6, 1, AnnouncedState.READY))
