Bound the memory that short headers and requests take

A faulty server that sends header lines without end cost a daemon 1.5 MB for each connection, and 128 of them 197 MB, about the memory of a small host.

Cause: limits counted bytes, and only after the parser had got a whole read of the event loop (256 KB). Four bytes of a header line become three objects, and parser and connection refer to each other, so they were kept until the garbage collector ran. In the same way, one read of short pipelined requests started a handler for each, about 14,000, before the limit of 64 applied.

Change: headers are counted while they arrive (1,000, and the limit of bytes of the head); a connection drops its headers and its parser when it ends; requests are parsed in pieces of 2 KB (16 KB within a body), and no further while too many are unfinished. A head that is too large gets 431 as before.

--- a/bergamotshunt/http/client_connection.py
+++ b/bergamotshunt/http/client_connection.py
@@ -14,7 +14,7 @@
 from bergamotshunt.http.heads import (
     BODYLESS_STATUSES,
     LAST_CHUNK,
-    Header,
+    HeaderCollector,
     ResponseHead,
     encode_chunk,
 )
@@ -81,13 +81,14 @@
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.skipped_responses = 0
         self._transport: Transport | None = None
-        self._parser = HttpResponseParser(self)
+        # None after the end of the connection: it refers back to this object.
+        self._parser: Any = HttpResponseParser(self)
         self._can_write = Event()
         self._can_write.set()
         self._is_expected: ResponseMatcher | None = None
         self._response_waiter: Future[Response] | None = None
         self._body: Body | None = None
-        self._headers: list[Header] = []
+        self._headers = HeaderCollector()
         self._framing_bytes = 0
         self._skipped_bytes = 0
         self._in_head = False
@@ -121,7 +122,8 @@
             self._parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade) as error:
             self._fail_out_of_sync(
-                f'the server sent a malformed HTTP response: {error}'
+                'the server sent a malformed HTTP response: '
+                f'{error.__context__ or error}'
             )
         self._check_limits(len(data))
 
@@ -140,6 +142,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending request."""
         self._transport = None
+        self._parser = None
         self._can_write.set()
         self._fail_pending(
             f'the connection to the server ended: {exc or "closed"}'
@@ -160,13 +163,13 @@
         if self._response_waiter is None:
             self._out_of_sync = True
             return
-        self._headers = []
+        self._headers = HeaderCollector()
         self._in_head = True
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Collect a header; trailers are dropped."""
         if self._in_head:
-            self._headers.append((name, content))
+            self._headers.add(name, content, MAX_FRAMING_BYTES)
 
     def on_headers_complete(self) -> None:
         """Pass the head to the pending request."""
@@ -321,13 +324,14 @@
             )
 
     def _create_head(self, status: int) -> ResponseHead:
-        by_name = {name.lower(): content for name, content in self._headers}
+        headers = tuple(self._headers.headers)
+        by_name = {name.lower(): content for name, content in headers}
         length: int | None = None
         if self._is_bodyless(status):
             length = 0
         elif b'content-length' in by_name:
             length = int(by_name[b'content-length'])
-        return ResponseHead(status, tuple(self._headers), by_name, length)
+        return ResponseHead(status, headers, by_name, length)
 
     def _is_chunked(self, head: ResponseHead) -> bool:
         coding = head.by_name.get(b'transfer-encoding', b'')
@@ -353,6 +357,7 @@
 
     def _fail_out_of_sync(self, reason: str) -> None:
         self._out_of_sync = True
+        self._headers = HeaderCollector()
         self._fail_pending(reason)
         self.close()
 
--- a/bergamotshunt/http/heads.py
+++ b/bergamotshunt/http/heads.py
@@ -27,6 +27,44 @@
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 )
 LAST_CHUNK: Final = b'0\r\n\r\n'
+# Each header takes far more memory than a short one has bytes.
+MAX_HEADERS: Final = 1000
+# Bytes of a header line besides its name and value.
+HEADER_LINE_BYTES: Final = 4
+
+
+class HeadTooLargeError(Exception):
+    """A head has too many headers or bytes."""
+
+
+class HeaderCollector:
+    """Headers of one head, which the parser delivers one by one.
+
+    The limits hold within one read of the event loop, which may bring far
+    more bytes than a head may have.
+
+    Attributes:
+        headers: The headers so far.
+    """
+
+    def __init__(self) -> None:
+        """Create a collector without headers."""
+        self.headers: list[Header] = []
+        self._size = 0
+
+    def add(self, name: bytes, content: bytes, max_bytes: int) -> None:
+        """Add a header.
+
+        Raises:
+            HeadTooLargeError: There are more than ``MAX_HEADERS``, or more
+                bytes than ``max_bytes``.
+        """
+        self._size += len(name) + len(content) + HEADER_LINE_BYTES
+        if len(self.headers) >= MAX_HEADERS or self._size > max_bytes:
+            raise HeadTooLargeError(
+                f'over {MAX_HEADERS} headers, or {max_bytes} bytes of them'
+            )
+        self.headers.append((name, content))
 
 
 class RequestHead(NamedTuple):
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -24,7 +24,11 @@
     OpenConnections,
 )
 from bergamotshunt.http.exchanges import Exchange
-from bergamotshunt.http.heads import Header, RequestHead
+from bergamotshunt.http.heads import (
+    HeadTooLargeError,
+    HeaderCollector,
+    RequestHead,
+)
 from bergamotshunt.http.lingering_close import (
     CHECK_INTERVAL_S,
     LingeringClose,
@@ -36,6 +40,10 @@
 MS_PER_S: Final = 1000
 # Reading pauses while a connection has more unfinished requests than this.
 MAX_PIPELINED_REQUESTS: Final = 64
+# Longest pieces that are parsed at a time: while a head is due, and while a
+# body is, behind which requests may follow, too.
+HEAD_PIECE_BYTES: Final = 2048
+BODY_PIECE_BYTES: Final = 16_384
 CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -76,10 +84,13 @@
         """Create a protocol that is not connected yet."""
         self._listener = listener
         self._transport: Transport | None = None
-        self._parser = HttpRequestParser(self)
+        # None after the end of the connection: it refers back to this object.
+        self._parser: Any = HttpRequestParser(self)
+        # Received bytes that wait until fewer requests are unfinished.
+        self._unparsed = b''
         self._exchanges: deque[Exchange] = deque()
         self._arriving: Exchange | None = None
-        self._headers: list[Header] = []
+        self._headers = HeaderCollector()
         self._target = b''
         self._head_bytes = 0
         self._head_start_s: float = 0
@@ -113,18 +124,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject malformed and too large heads."""
-        if self._rejecting or self._ignores_requests():
-            return
-        if self._arriving is None or not self._arriving.head.method:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            self._end_requests()
-        except HttpParserError:
-            self._reject(HTTPStatus.BAD_REQUEST)
-        if self._head_bytes > self._listener.limits.head_bytes:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        self._parse(self._unparsed + data if self._unparsed else data)
 
     def eof_received(self) -> bool:
         """Close the connection: the client has closed its side."""
@@ -145,6 +145,8 @@
             self._lingering_close.cancel()
         self._cancel_exchanges('the client closed its connection')
         self._transport = None
+        self._parser = None
+        self._unparsed = b''
         self._listener.report_progress()
 
     def pause_writing(self) -> None:
@@ -162,7 +164,7 @@
 
     def on_message_begin(self) -> None:
         """Start to collect the head of a request."""
-        self._headers = []
+        self._headers = HeaderCollector()
         self._target = b''
         self._head_start_s = self._listener.now_s()
         if not self._ignores_requests():
@@ -175,7 +177,7 @@
     def on_header(self, name: bytes, content: bytes) -> None:
         """Collect a header; trailers are dropped."""
         if self._arriving is not None and not self._arriving.head.method:
-            self._headers.append((name, content))
+            self._headers.add(name, content, self._listener.limits.head_bytes)
 
     def on_headers_complete(self) -> None:
         """Start the handler of a request, or reject a too long body."""
@@ -314,6 +316,46 @@
 
     # Internals
 
+    def _parse(self, received: bytes) -> None:
+        """Parse received bytes until too many requests are unfinished.
+
+        One read may bring thousands of short requests, so it is parsed in
+        short pieces.
+        """
+        unparsed = memoryview(received)
+        while unparsed and not self._is_pipeline_full:
+            if self._rejecting or self._ignores_requests():
+                unparsed = unparsed[:0]
+                break
+            size = BODY_PIECE_BYTES if self._is_in_body() else HEAD_PIECE_BYTES
+            self._parse_piece(unparsed[:size])
+            unparsed = unparsed[size:]
+        self._unparsed = bytes(unparsed)
+
+    def _resume_parsing(self) -> None:
+        self._parse(self._unparsed)
+
+    def _parse_piece(self, piece: memoryview) -> None:
+        if not self._is_in_body():
+            self._head_bytes += len(piece)
+        try:
+            self._parser.feed_data(piece)
+        except HttpParserUpgrade:
+            self._end_requests()
+        except HttpParserError as error:
+            is_large = isinstance(error.__context__, HeadTooLargeError)
+            self._reject(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                if is_large
+                else HTTPStatus.BAD_REQUEST
+            )
+        if self._head_bytes > self._listener.limits.head_bytes:
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def _is_in_body(self) -> bool:
+        """Whether the next bytes belong to the body of a request."""
+        return self._arriving is not None and bool(self._arriving.head.method)
+
     def _flush_response(self, exchange: Exchange) -> bool:
         """Write output of the next response; remove it when complete.
 
@@ -348,6 +390,8 @@
         if is_full is not self._is_pipeline_full:
             self._is_pipeline_full = is_full
             self.set_reading(not is_full)
+            if self._unparsed and not is_full:
+                get_running_loop().call_soon(self._resume_parsing)
 
     def _end_requests(self) -> None:
         """Serve the last request without its upgrade, then close.
@@ -358,7 +402,8 @@
             self._exchanges[-1].closing = True
 
     def _create_head(self) -> RequestHead:
-        by_name = {name.lower(): content for name, content in self._headers}
+        headers = tuple(self._headers.headers)
+        by_name = {name.lower(): content for name, content in headers}
         length: int | None = 0
         if b'transfer-encoding' in by_name:
             length = None
@@ -367,7 +412,7 @@
         return RequestHead(
             method=self._parser.get_method(),
             target=self._target,
-            headers=tuple(self._headers),
+            headers=headers,
             by_name=by_name,
             length=length,
         )
