Let a stop wait for clients that still have time

Cause: a client that takes no byte for 1.5 s while the daemon drains was taken for lost, whatever its request said.

Change: while the daemon drains, a connection is stalled when the client took no byte for 1.5 s and the time is over that its request stated. Requests of other daemons state it, too, so the daemon beside the server waits as well.

--- a/bergamotshunt/decisions/connection_closing.py
+++ b/bergamotshunt/decisions/connection_closing.py
@@ -3,7 +3,8 @@
 from typing import Final, NamedTuple
 
 # While the daemon stops, a peer that takes no byte of a response for this time
-# is treated as lost, so that it does not delay the next start.
+# is treated as lost, so that it does not delay the next start; but not before
+# the time is over that its request had.
 DRAIN_STALL_TIMEOUT_S: Final = 1.5
 # Time for a peer to close its side once all responses are sent. Closing with
 # unread bytes resets the connection, which can destroy the end of a response
@@ -11,31 +12,42 @@
 LINGER_TIMEOUT_S: Final = 0.5
 
 
-def stall_timeout_s(idle_timeout_s: float, *, draining: bool) -> float:
-    """Return how long a peer may take no bytes of a response, in seconds.
+def stall_deadline_s(
+    progress_s: float,
+    idle_timeout_s: float,
+    request_deadline_s: float,
+    *,
+    draining: bool,
+) -> float:
+    """Return until when a peer may take no bytes of a response.
 
     Args:
+        progress_s: Time at which it last took some, in seconds.
         idle_timeout_s: Time without a request after which a connection is
             closed, in seconds.
+        request_deadline_s: Time until which the client waits for the
+            response, in seconds.
         draining: Whether the daemon stops.
     """
-    return DRAIN_STALL_TIMEOUT_S if draining else idle_timeout_s
+    if draining:
+        return max(progress_s + DRAIN_STALL_TIMEOUT_S, request_deadline_s)
+    return progress_s + idle_timeout_s
 
 
 def closing_deadline_s(
     undelivered_bytes: int,
     progress_s: float,
-    stall_s: float,
+    stall_end_s: float,
 ) -> float:
     """Return when a closing connection is closed without the peer's help.
 
     Args:
         undelivered_bytes: Response bytes that the peer has not acknowledged.
         progress_s: Time at which it last acknowledged some, in seconds.
-        stall_s: How long the peer may take no bytes, in seconds.
+        stall_end_s: Until when the peer may take no bytes, in seconds.
     """
     if undelivered_bytes:
-        return progress_s + stall_s
+        return stall_end_s
     return progress_s + LINGER_TIMEOUT_S
 
 
@@ -64,12 +76,14 @@
     return previous if is_unchanged else current
 
 
-def is_stalled(progress: ClientProgress, now_s: float, stall_s: float) -> bool:
+def is_stalled(
+    progress: ClientProgress, now_s: float, stall_end_s: float
+) -> bool:
     """Return whether a client has made no progress for too long.
 
     Args:
         progress: Progress of the client.
         now_s: Time in seconds.
-        stall_s: How long the client may make no progress, in seconds.
+        stall_end_s: Until when the client may make no progress, in seconds.
     """
-    return progress.is_awaited and now_s >= progress.since_s + stall_s
+    return progress.is_awaited and now_s >= stall_end_s
--- a/bergamotshunt/http/exchanges.py
+++ b/bergamotshunt/http/exchanges.py
@@ -49,6 +49,8 @@
         head: Head of the request.
         body: Body of the request.
         arrived_s: Loop time at which the head was complete.
+        deadline_s: Loop time until which the client waits for the response;
+            the handler sets it.
         started: Whether the head of the response was written.
         finished: Whether the whole response was written.
         closing: Whether the connection closes after the response.
@@ -62,6 +64,7 @@
         self.head = RequestHead(b'', b'', (), {})
         self.body = Body(connection.set_reading)
         self.arrived_s: float = 0
+        self.deadline_s: float = 0
         self.started = False
         self.finished = False
         self.closing = False
--- a/bergamotshunt/http/lingering_close.py
+++ b/bergamotshunt/http/lingering_close.py
@@ -24,8 +24,8 @@
         transport: Transport of the connection, which is not closing yet.
         sent_s: Loop time of the last response in seconds; negative infinity
             if there was none.
-        stall_timeout_s: Returns how long the peer may take no bytes now, in
-            seconds.
+        stall_deadline_s: Returns until when the peer may take no bytes, from
+            the loop time at which it last took some; both in seconds.
         on_stall: Called when the peer takes no more bytes.
         on_check: Called after each check of the progress.
     """
@@ -34,13 +34,13 @@
         self,
         transport: Transport,
         sent_s: float,
-        stall_timeout_s: Callable[[], float],
+        stall_deadline_s: Callable[[float], float],
         on_stall: Callable[[], None],
         on_check: Callable[[], None],
     ) -> None:
         """Send the end of the stream after all buffered bytes."""
         self._transport = transport
-        self._stall_timeout_s = stall_timeout_s
+        self._stall_deadline_s = stall_deadline_s
         self._on_stall = on_stall
         self._on_check = on_check
         self._timer: TimerHandle | None = None
@@ -85,7 +85,9 @@
             self._sent_s = loop.time()
         self._on_check()
         deadline_s = closing_deadline_s(
-            undelivered_bytes, self._progress_s, self._stall_timeout_s()
+            undelivered_bytes,
+            self._progress_s,
+            self._stall_deadline_s(self._progress_s),
         )
         wait_s = deadline_s - loop.time()
         if wait_s > 0:
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -14,7 +14,7 @@
 from bergamotshunt.decisions.connection_closing import (
     ClientProgress,
     is_stalled,
-    stall_timeout_s,
+    stall_deadline_s,
     update_progress,
 )
 from bergamotshunt.http.connection_ends import (
@@ -105,6 +105,7 @@
         self._lingering_close: LingeringClose | None = None
         self._end_recorder = EndRecorder()
         self._last_response_s = -inf
+        self._last_deadline_s = -inf
         self._written_bytes = 0
         self._received_body_bytes = 0
         self._progress = ClientProgress(
@@ -376,6 +377,7 @@
         self._exchanges.popleft()
         self._end_recorder.request_id = exchange.request_id
         self._last_response_s = self._listener.now_s()
+        self._last_deadline_s = exchange.deadline_s
         self._next_response_changed.set()
         self._next_response_changed = Event()
         if exchange.closing:
@@ -452,7 +454,7 @@
         self._lingering_close = LingeringClose(
             self._transport,
             self._last_response_s,
-            self._stall_timeout_s,
+            self._stall_deadline_s,
             lambda: self.abort(CloseReason.STALLED),
             self._listener.report_progress,
         )
@@ -463,10 +465,15 @@
             self.transmit(notice)
             self._last_response_s = self._listener.now_s()
 
-    def _stall_timeout_s(self) -> float:
+    def _stall_deadline_s(self, progress_s: float) -> float:
         listener = self._listener
-        return stall_timeout_s(
+        request_deadline_s = self._last_deadline_s
+        if self._exchanges:
+            request_deadline_s = self._exchanges[0].deadline_s
+        return stall_deadline_s(
+            progress_s,
             listener.limits.idle_timeout_ms / MS_PER_S,
+            request_deadline_s,
             draining=listener.closing,
         )
 
@@ -507,7 +514,8 @@
             since_s=now_s,
         )
         self._progress = update_progress(self._progress, current)
-        return is_stalled(self._progress, now_s, self._stall_timeout_s())
+        stall_end_s = self._stall_deadline_s(self._progress.since_s)
+        return is_stalled(self._progress, now_s, stall_end_s)
 
     def _is_client_awaited(self) -> bool:
         """Whether unsent bytes, or a body that nobody reads, hold it open."""
--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -161,6 +161,7 @@
             exchange.respond(HTTPStatus.BAD_REQUEST, [])
             return
         exchange.request_id = call.request_id
+        exchange.deadline_s = exchange.arrived_s + call.left_ms / MS_PER_S
         self.metrics.increment('peer_requests')
         deadline_ms = self.now_ms() + call.left_ms
         try:
--- a/bergamotshunt/plugins/mesh/outbound.py
+++ b/bergamotshunt/plugins/mesh/outbound.py
@@ -158,9 +158,13 @@
             self._used_services.add(service)
             self.bus.publish(ServiceUsed(service))
         self._publish_nested_call(info.request_id, service)
-        timeout_ms = route.timeout_ms
-        if info.timeout_ms is not None:
-            timeout_ms = min(timeout_ms, info.timeout_ms)
+        client_timeout_ms = info.timeout_ms
+        if client_timeout_ms is None:
+            client_timeout_ms = route.timeout_ms
+        timeout_ms = min(route.timeout_ms, client_timeout_ms)
+        # A response that was started in time may take the rest of the time
+        # that the client has.
+        exchange.deadline_s = exchange.arrived_s + client_timeout_ms / MS_PER_S
         request = ForwardedRequest(
             exchange=exchange,
             info=info,
--- a/bergamotshunt/tests/test_mesh_stalled_clients.py
+++ b/bergamotshunt/tests/test_mesh_stalled_clients.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bergamotshunt.daemon import create_runner
+from bergamotshunt.decisions.connection_closing import DRAIN_STALL_TIMEOUT_S
 from bergamotshunt.http.connection_ends import ConnectionEnd
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.listeners import Listener
@@ -29,6 +30,9 @@
 PIECES = 20
 # Reading a response takes longer than the idle timeout of LIMITS.
 READ_INTERVAL_S = 0.02
+# A client that takes nothing for longer than a drain waits for a silent one.
+CLIENT_PAUSE_S = DRAIN_STALL_TIMEOUT_S + 0.7
+CLIENT_TIME_S = CLIENT_PAUSE_S + 5
 
 
 class Responder:
@@ -36,18 +40,26 @@
 
     Attributes:
         ends: Ends of the listener's connections.
+        request_time_s: How long the client of a request waits, in seconds.
+        pieces: Number of pieces of a response that is written in pieces.
     """
 
     def __init__(self, limits: ClientLimits) -> None:
         self.ends: list[ConnectionEnd] = []
+        self.request_time_s: float = 0
+        self.pieces = PIECES
         self.listener = Listener(
             self.serve, limits, on_connection_end=self.ends.append
         )
 
     async def serve(self, exchange: Exchange) -> None:
-        shrink_send_buffers(self.listener)
+        self.prepare(exchange)
         exchange.respond(200, [], LARGE_CONTENT)
 
+    def prepare(self, exchange: Exchange) -> None:
+        shrink_send_buffers(self.listener)
+        exchange.deadline_s = exchange.arrived_s + self.request_time_s
+
     async def wait_for_end(self) -> bool:
         """Return whether a connection ends in time."""
         try:
@@ -65,9 +77,9 @@
     """Writes a response in pieces as the client takes them."""
 
     async def serve(self, exchange: Exchange) -> None:
-        shrink_send_buffers(self.listener)
-        exchange.start(200, [], PIECES * len(PIECE))
-        for _ in range(PIECES):
+        self.prepare(exchange)
+        exchange.start(200, [], self.pieces * len(PIECE))
+        for _ in range(self.pieces):
             exchange.write(PIECE)
             await exchange.drain()
         exchange.finish()
@@ -115,6 +127,42 @@
         assert runner.run(run_scenario())
 
 
+@pytest.mark.parametrize('runner_factory', RUNNERS)
+@pytest.mark.parametrize('responder_type', [Responder, StreamingResponder])
+def test_drain_waits_for_a_client_that_still_has_time(
+    responder_type: type[Responder],
+    runner_factory: Callable[[], asyncio.Runner],
+) -> None:
+    """Guards against a stop that cuts the response to a busy client.
+
+    The client takes no bytes for a while and reads on before the time is over
+    that its request states.
+    """
+
+    async def run_scenario() -> int:
+        responder = responder_type(LONG_LIMITS)
+        responder.request_time_s = CLIENT_TIME_S
+        responder.pieces = 2
+        port = await responder.listener.open('127.0.0.1', 0)
+        received = 0
+        async with SlowClient('127.0.0.1', port) as client:
+            await client.send(REQUEST)
+            await asyncio.sleep(0.2)
+            responder.listener.close_after_responses()
+            await asyncio.sleep(CLIENT_PAUSE_S)
+            # The connection stays open for the next request.
+            while received <= len(LARGE_CONTENT):
+                chunk = await client.read()
+                if not chunk:
+                    break
+                received += len(chunk)
+        await responder.listener.close()
+        return received
+
+    with runner_factory() as runner:
+        assert runner.run(run_scenario()) > len(LARGE_CONTENT)
+
+
 @pytest.mark.parametrize('runner_factory', RUNNERS)
 @pytest.mark.parametrize('responder_type', [Responder, StreamingResponder])
 def test_client_with_progress_is_not_closed(
