Keep the body of a request that offers another protocol

Cause: the parser takes all bytes behind such a head for the other protocol. The daemon only marked the request as the last one of its connection, so the body counted as complete and was forwarded as empty.

Change: the offer is ignored, as HTTP allows. Another parser continues behind the head, from a head that states only how the body is framed; the connection stays open for the requests behind it. CONNECT still ends its connection.

--- a/bergamotshunt/http/heads.py
+++ b/bergamotshunt/http/heads.py
@@ -129,6 +129,17 @@
     return b'\r\n'.join(lines)
 
 
+def encode_framing_head(head: RequestHead) -> bytes:
+    """Encode a head that only states how the body of a request is framed."""
+    lines = [b'POST / HTTP/1.1']
+    lines += [
+        b'%b: %b' % (name, head.by_name[name])
+        for name in (b'content-length', b'transfer-encoding')
+        if name in head.by_name
+    ]
+    return b'\r\n'.join([*lines, b'', b''])
+
+
 def encode_response_head(
     status: int,
     headers: list[Header],
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -28,6 +28,7 @@
     HeadTooLargeError,
     HeaderCollector,
     RequestHead,
+    encode_framing_head,
 )
 from bergamotshunt.http.lingering_close import (
     CHECK_INTERVAL_S,
@@ -44,6 +45,7 @@
 # body is, behind which requests may follow, too.
 HEAD_PIECE_BYTES: Final = 2048
 BODY_PIECE_BYTES: Final = 16_384
+CONNECT: Final = b'CONNECT'
 CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -102,6 +104,10 @@
         self._pause_count: int = 0
         self._is_pipeline_full = False
         self._rejecting = False
+        # The request whose head is complete offers another protocol.
+        self._offers_upgrade = False
+        # The parser gets a head that was parsed before, for its body only.
+        self._repeats_head = False
         self._lingering_close: LingeringClose | None = None
         self._end_recorder = EndRecorder()
         self._last_response_s = -inf
@@ -165,6 +171,8 @@
 
     def on_message_begin(self) -> None:
         """Start to collect the head of a request."""
+        if self._repeats_head:
+            return
         self._headers = HeaderCollector()
         self._target = b''
         self._head_start_s = self._listener.now_s()
@@ -183,10 +191,12 @@
     def on_headers_complete(self) -> None:
         """Start the handler of a request, or reject a too long body."""
         exchange = self._arriving
-        if exchange is None:
+        if exchange is None or self._repeats_head:
+            self._repeats_head = False
             return
         self._head_bytes = 0
         exchange.head = self._create_head()
+        self._offers_upgrade = self._parser.should_upgrade()
         exchange.arrived_s = self._listener.now_s()
         if not self._parser.should_keep_alive():
             exchange.closing = True
@@ -213,6 +223,9 @@
 
     def on_message_complete(self) -> None:
         """Complete the request."""
+        if self._offers_upgrade:
+            # The parser takes what follows for the other protocol.
+            return
         exchange = self._arriving
         self._arriving = None
         self._head_bytes = 0
@@ -341,8 +354,9 @@
             self._head_bytes += len(piece)
         try:
             self._parser.feed_data(piece)
-        except HttpParserUpgrade:
-            self._end_requests()
+        except HttpParserUpgrade as upgrade:
+            head_end = upgrade.args[0]
+            self._ignore_upgrade(piece[head_end:])
         except HttpParserError as error:
             is_large = isinstance(error.__context__, HeadTooLargeError)
             self._reject(
@@ -395,11 +409,30 @@
             if self._unparsed and not is_full:
                 get_running_loop().call_soon(self._resume_parsing)
 
-    def _end_requests(self) -> None:
-        """Serve the last request without its upgrade, then close.
+    def _ignore_upgrade(self, unparsed: memoryview) -> None:
+        """Parse on as if the client had not offered another protocol.
+
+        The parser skips the body of such a request and all that follows, so
+        another one continues behind its head.
 
-        The parser takes all that follows for the other protocol.
+        Args:
+            unparsed: Received bytes behind the head.
         """
+        exchange = self._arriving
+        self._offers_upgrade = False
+        if exchange is None or exchange.head.method == CONNECT:
+            self._end_requests()
+            return
+        self._parser = HttpRequestParser(self)
+        self._repeats_head = True
+        self._parser.feed_data(encode_framing_head(exchange.head))
+        if unparsed:
+            self._parse_piece(unparsed)
+
+    def _end_requests(self) -> None:
+        """Serve the last request, then close: no request follows it."""
+        if self._arriving is not None:
+            self.on_message_complete()
         if self._exchanges:
             self._exchanges[-1].closing = True
 
