Continue a watch from the last change that it told of

A daemon could miss a change of the configuration until the next one, if the store dropped its history and its watches heard nothing shortly before.

Cause: a watch that ends without a change states the store's revision, and the next one continued from there, past a change that it had not told of. Short watches would have made it more frequent.

Change: an answer without a change does not move the revision.

Measured: test_configuration_is_read_after_a_loss_of_history failed before (1 failed) and passes.

--- a/bergamotshunt/store/store_watch.py
+++ b/bergamotshunt/store/store_watch.py
@@ -158,7 +158,10 @@
             answer = await self._wait_for_changes(self._revision)
             if answer is None:
                 return
-            listing = answer
+            # A store that is about to drop its history may have told nothing
+            # of a change. Asked for what came after the last one that it did
+            # tell of, it answers that the items have to be listed again.
+            listing = answer if answer.items else Listing((), self._revision)
             self._observer.on_changes(listing)
         self._wait_ms = MIN_WAIT_MS
         self._revision = listing.revision
--- a/bergamotshunt/tests/test_store_silence.py
+++ b/bergamotshunt/tests/test_store_silence.py
@@ -19,6 +19,7 @@
     Mesh,
     configuration,
 )
+from bergamotshunt.store.store_watch import MIN_WAIT_MS
 from standins.mesh_server import respond_with_echo
 
 # The users' figure for the time in which a configuration is in force.
@@ -75,6 +76,31 @@
     asyncio.run(run_scenario())
 
 
+def test_configuration_is_read_after_a_loss_of_history() -> None:
+    """Guards against a change that an empty answer to a watch skips.
+
+    The store drops its history. Watches hear nothing of a change shortly
+    before, but their answers state a revision after it.
+    """
+
+    async def run_scenario() -> None:
+        async with Mesh([respond_with_echo, respond_with_echo]) as mesh:
+            mesh.store.deaf = True
+            await mesh.store.put(
+                'op/config', configuration(2, READ_ROUTE, BOOKING_ROUTE)
+            )
+            # Each pending watch ends without a change meanwhile.
+            await asyncio.sleep(MIN_WAIT_MS / 1000 + 0.5)
+            mesh.store.deaf = False
+            mesh.store.compact()
+            async with asyncio.timeout(CONTACT_S):
+                await mesh.wait_until(
+                    lambda: all(mesh.version(host) == 2 for host in (0, 1))
+                )
+
+    asyncio.run(run_scenario())
+
+
 def test_watches_are_rare_while_the_store_does_not_answer() -> None:
     """Guards against watches that load a store which answers nobody."""
 
--- a/standins/mesh_store.py
+++ b/standins/mesh_store.py
@@ -42,6 +42,8 @@
         calls: Paths of all calls, in their order.
         responses_to_drop: Number of next transactions that are executed
             and whose connection closes without a response.
+        deaf: Whether watches hear of no change. Those that are made meanwhile
+            are in listings only.
         silent: Whether calls get no response. Those that arrive meanwhile or
             are pending at its begin never get one; connections stay open.
     """
@@ -53,6 +55,7 @@
         self.compacted_revision = 0
         self.calls: list[str] = []
         self.responses_to_drop = 0
+        self.deaf = False
         self.silent = False
         self._silences = 0
         self._revision = 1
@@ -118,6 +121,8 @@
         await self._publish(KeyChange(key, None, self._revision, 0))
 
     async def _publish(self, change: KeyChange) -> None:
+        if self.deaf:
+            return
         self._changes.append(change)
         async with self._changed:
             self._changed.notify_all()
