--- a/bergamotshunt/tests/test_mesh_upgrade_offers.py
+++ b/bergamotshunt/tests/test_mesh_upgrade_offers.py
@@ -3,6 +3,8 @@
 import asyncio
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.listeners import Listener
@@ -60,6 +62,41 @@
     assert received.endswith(b'GET ')
 
 
+@given(
+    version=st.sampled_from([b'1.0', b'1.1']),
+    headers=st.lists(
+        st.sampled_from(
+            [
+                b'Connection: Upgrade',
+                b'Connection: keep-alive, Upgrade',
+                b'Connection: close',
+                b'Upgrade: h2c',
+                b'Upgrade: websocket',
+                b'Expect: 100-continue',
+            ]
+        ),
+        max_size=4,
+    ),
+    framed_body=st.sampled_from(list(BODIES.values())),
+    split_at=st.integers(0, 600),
+)
+@settings(derandomize=True, deadline=None, max_examples=60)
+def test_body_is_whole_or_the_request_is_rejected(
+    version: bytes, headers: list[bytes], framed_body: bytes, split_at: int
+) -> None:
+    """Guards against a body that is cut by a combination of headers."""
+    lines = [b'POST /a HTTP/' + version, b'Host: x', *headers]
+    request = b'\r\n'.join([*lines, framed_body])
+    last = b'GET /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+    pieces = [request[:split_at], request[split_at:] + last]
+    received = asyncio.run(send(pieces))
+    received = received.removeprefix(b'HTTP/1.1 100 Continue\r\n\r\n')
+    if received.startswith(b'HTTP/1.1 200 '):
+        assert b'POST ' + BODY in received
+    else:
+        assert received.startswith(b'HTTP/1.1 4')
+
+
 def test_connect_ends_its_connection() -> None:
     """Guards against bytes of a tunnel that are taken for requests."""
     request = b'CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\n\r\n'
