Do not overwrite that a server has left when the store is back

Cause: a process that had taken a late heartbeat while the store was away read the entry of the deregistered server, and wrote the heartbeat's over it before the control task had answered. It wrote the right one right after, but a process that ended between the two left the wrong one in the store.

Change: the keeper of the entry takes over a stored entry of a server that leaves, unless a newer incarnation has announced itself.

--- a/bergamotshunt/store/own_entry_keeper.py
+++ b/bergamotshunt/store/own_entry_keeper.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import Final, NamedTuple
 
+from bergamotshunt.decisions.announcements import is_newer_announcement
 from bergamotshunt.decisions.store_contact import StoreContact, record_call
 from bergamotshunt.platform.store import StoreError
 from bergamotshunt.routing import ServerEntry
@@ -146,9 +147,16 @@
             return False
         self._record_call(started_s, failed=False)
         self._observer.on_result(None)
+        if stored is not None and stored.is_leaving:
+            self._keep_leaving(stored)
         self._observer.on_stored(stored)
         return True
 
+    def _keep_leaving(self, stored: ServerEntry) -> None:
+        """Keep an entry that an older announcement must not overwrite."""
+        if is_newer_announcement(stored, self._server):
+            self._server = stored
+
     def _is_written(self, entry: ServerEntry) -> bool:
         written = self._own_entry.written
         return written is not None and (
--- a/bergamotshunt/tests/test_mesh_deregistration.py
+++ b/bergamotshunt/tests/test_mesh_deregistration.py
@@ -7,6 +7,8 @@
 import pytest
 
 from bergamotshunt.mesh_messages import StopRequested
+from bergamotshunt.platform.announcements import decode_entry, entry_key
+from bergamotshunt.routing import AnnouncedState
 from bergamotshunt.tests.mesh import Host, Mesh, send_request
 from standins.mesh_server import respond_with_echo
 
@@ -95,7 +97,14 @@
             mesh.store.unavailable = False
             await mesh.wait_until(lambda: mesh.stored_servers(LEAVER) > 1)
             await mesh.wait_until(lambda: not mesh.is_serving(LEAVER))
-            # The entry in the store still tells of the deregistration.
+            # The entry in the store has never told anything else.
+            key = entry_key(mesh.hosts[LEAVER].settings.ip)
+            states = [
+                decode_entry(content).state
+                for content in mesh.store.read_history(key)
+            ]
+            first = states.index(AnnouncedState.DEREGISTERED)
+            assert set(states[first:]) == {AnnouncedState.DEREGISTERED}
             await mesh.restart(LEAVER)
             assert await mesh.announce(LEAVER, seq=1, born=BORN_MS) == 200
             assert not mesh.is_serving(LEAVER)
--- a/standins/mesh_store.py
+++ b/standins/mesh_store.py
@@ -115,6 +115,14 @@
             if key.startswith(prefix)
         }
 
+    def read_history(self, key: str) -> list[bytes]:
+        """Return the decoded values that a key has had, in their order."""
+        return [
+            b64decode(change.content)
+            for change in self._changes
+            if change.key == key and change.content is not None
+        ]
+
     async def _remove(self, key: str) -> None:
         self._revision += 1
         self._by_key.pop(key, None)
