--- a/bench/store_outages.py
+++ b/bench/store_outages.py
@@ -102,6 +102,13 @@
     store.silent = False
 
 
+@OUTAGES.register('lost answers')
+async def lose_answers(store: MeshStore) -> None:
+    """Answer all calls, but at last none of the watches that are pending."""
+    await sleep(OUTAGE_S)
+    store.forget_pending()
+
+
 async def measure(outage: Outage, offset_s: float, seed: int) -> Recovery:
     """Measure one outage."""
     rng = Random(seed)
