Show two holders of one quota

Cause: a process that finds a ready entry of its host in the store grants at once, however young the entry is; the owner before may not know of it.

--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -307,18 +307,21 @@
     raise NotRunError('no free ports')
 
 
-class StoreLink:
-    """The way from one machine to the store, which can be cut silently.
+class Link:
+    """The way to an address, which can be cut silently.
 
     While it is cut, bytes are held up in both directions, and new connections
     are not established: their opening packets find a full queue.
     """
 
-    def __init__(self, fleet: 'Fleet', ip: str) -> None:
+    def __init__(
+        self, fleet: 'Fleet', own: tuple[str, int], target: tuple[str, int]
+    ) -> None:
         self.is_cut = False
         self.calls: list[tuple[float, str]] = []
         self._fleet = fleet
-        self._ip = ip
+        self._own = own
+        self._target = target
         self._whole = asyncio.Event()
         self._whole.set()
         self._fillers: list[socket.socket] = []
@@ -328,7 +331,7 @@
     async def open(self) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind((self._ip, self._fleet.ports['store']))
+        self._socket.bind(self._own)
         self._socket.listen(1)
         self._socket.setblocking(False)
         self._spawn(self._accept())
@@ -340,7 +343,7 @@
         for _ in range(4):
             filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             filler.setblocking(False)
-            filler.connect_ex((self._ip, self._fleet.ports['store']))
+            filler.connect_ex(self._own)
             self._fillers.append(filler)
         await asyncio.sleep(0)
 
@@ -377,14 +380,15 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        store = (self._fleet.store_ip, self._fleet.ports['store'])
         try:
-            store_reader, store_writer = await asyncio.open_connection(*store)
+            far_reader, far_writer = await asyncio.open_connection(
+                *self._target
+            )
         except OSError:
             writer.close()
             return
-        self._spawn(self._copy(store_reader, writer, is_call=False))
-        await self._copy(reader, store_writer, is_call=True)
+        self._spawn(self._copy(far_reader, writer, is_call=False))
+        await self._copy(reader, far_writer, is_call=True)
 
     async def _copy(
         self,
@@ -579,10 +583,16 @@
         self.fleet = fleet
         self.name = f'm{number}'
         self.ip = fleet.ips[number]
-        self.zone = f'zone-{"abc"[number % 3]}'
+        self.zone = fleet.zones[number % len(fleet.zones)]
         self.service = service
         self.backend = Backend(self)
-        self.store_link = StoreLink(fleet, self.ip) if fleet.has_links else None
+        self.store_link = None
+        if fleet.has_links:
+            self.store_link = Link(
+                fleet,
+                (self.ip, self.port('store')),
+                (fleet.store_ip, self.port('store')),
+            )
         self.process: asyncio.subprocess.Process | None = None
         self.ends: list[tuple[float, int]] = []
         self.expected_end = False
@@ -601,9 +611,7 @@
             f'ip={self.ip}',
             f'zone={self.zone}',
             'region=here',
-            'zones.zone-a=here',
-            'zones.zone-b=here',
-            'zones.zone-c=here',
+            *(f'zones.{zone}=here' for zone in fleet.zones),
             f'listen.inbound={self.ip}:{self.port("inbound")}',
             f'listen.outbound={self.ip}:{self.port("outbound")}',
             f'listen.ready={self.ip}:{self.port("ready")}',
@@ -639,6 +647,17 @@
         ]
         return '\n'.join(lines) + '\n'
 
+    async def start(self) -> None:
+        """Start the links, the daemon and the backend."""
+        await self.backend.open()
+        await self.start_without_backend()
+
+    async def start_without_backend(self) -> None:
+        """Start the links and the daemon."""
+        if self.store_link is not None:
+            await self.store_link.open()
+        await self.start_daemon()
+
     async def start_daemon(self) -> None:
         """Start the daemon with the command of the deploy file."""
         path = self.fleet.folder / f'{self.name}.conf'
@@ -686,6 +705,7 @@
     Args:
         services: Service of each machine's backend.
         has_links: Whether each machine has a link of its own to the store.
+        zones: Zones; the machines lie in them in turn.
     """
 
     def __init__(
@@ -693,9 +713,11 @@
         folder: Path,
         services: list[str],
         has_links: bool = False,
+        zones: tuple[str, ...] = ('zone-a', 'zone-b', 'zone-c'),
         **bounds: Any,
     ) -> None:
         self.has_links = has_links
+        self.zones = zones
         self.record = Record(folder)
         self.folder = Path(tempfile.mkdtemp(prefix='review-2-'))
         self.bounds = BOUNDS | bounds
@@ -716,16 +738,14 @@
             for number, service in enumerate(services)
         ]
 
-    async def start(self, config: dict[str, Any]) -> None:
-        """Start all, and wait until every daemon is ready."""
+    async def start(self, config: dict[str, Any], count: int = 0) -> None:
+        """Start the first machines, or all; wait until they are ready."""
         await self.store.open(self.store_ip, self.ports['store'])
         await self.store.put_config(config)
-        for machine in self.machines:
-            if machine.store_link is not None:
-                await machine.store_link.open()
-            await machine.backend.open()
-            await machine.start_daemon()
-        await self.wait_ready(self.machines)
+        first = self.machines[: count or len(self.machines)]
+        for machine in first:
+            await machine.start()
+        await self.wait_ready(first)
         self.is_first_start = False
         # All daemons have to know all backends.
         await asyncio.sleep(4)
@@ -758,7 +778,10 @@
 
 
 def create_config(
-    version: int, routes: list[dict[str, Any]], services: list[str]
+    version: int,
+    routes: list[dict[str, Any]],
+    services: list[str],
+    tenants: list[dict[str, Any]] | None = None,
 ) -> dict[str, Any]:
     """Return a configuration in the form that PROTOCOL.md shows."""
     resources = []
@@ -791,6 +814,15 @@
                 },
             }
         )
+    for tenant in tenants or ():
+        spec = {name: x for name, x in tenant.items() if name != 'name'}
+        resources.append(
+            {
+                'entry_kind': 'tenants',
+                'metadata': {'name': tenant['name']},
+                'spec': spec,
+            }
+        )
     resources.append(
         {
             'entry_kind': 'limits',
