--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,153 +1,151 @@
 # flake8: noqa
-"""Answers whose backend falls silent midway are not ended at the timeout."""
+"""Uploads that wait for a slot reach the backend long after their clients."""
 
 import asyncio
+import struct
 import sys
+from fcntl import ioctl
 from pathlib import Path
+from random import Random
+from termios import TIOCOUTQ
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'common-2'))
 
 from harness import (
-    PREFIX,
     Fleet,
     client_fields,
     create_config,
     encode_head,
     is_troubled,
+    read_body,
     read_head,
     run_case,
 )
 
-DOWNLOAD_BYTES = 540_000
-PIECE_BYTES = 30_000
-WORK_S, SLOTS = 0.18, 9
-TIMEOUT_MS, LIMIT_MS, GOAL_MS = 800, 1500, 600
-USUAL_PER_S, BURST, CALM_S = 4, 14, 2
-DARK_AFTER_S, DARK_S = 0.09, 4.5
-GRACE_S, MIN_COUNT, MAX_SHARE = 0.5, 8, 0.25
+UPLOAD_BYTES = 300_000
+LIMIT_MS, GOAL_MS = 2295, 1721
+WORK_S, SLOTS = 0.14, 3
+USUAL_PER_S, BURST_X, BURST_S = 35, 2.4, 6.2
+GIVE_UP_SHARE, GIVE_UP_S = 0.3, (0.3, GOAL_MS / 2 / 1000)
+LATE_S, A_FEW = 0.5, 5
 
 
 async def main(folder: Path) -> bool:
-    fleet = Fleet(folder, ['desk', 'archive', 'archive', 'archive'])
+    fleet = Fleet(folder, ['desk', 'intake', 'intake'], config_apply_ms=2500)
     route = {
-        'prefix': '/pull/',
-        'kind': 'download',
-        'timeout_ms': TIMEOUT_MS,
+        'prefix': '/up/',
+        'kind': 'upload',
+        'timeout_ms': LIMIT_MS,
         'latency_goal_ms': GOAL_MS,
         'attempts': 2,
-        'service': 'archive',
+        'service': 'intake',
     }
-    dark = Dark()
     for machine in fleet.machines[1:]:
         machine.backend.slots = SLOTS
-        machine.backend.behave = stream
-    # The backend in the zone of the clients gets most of their requests.
-    fleet.machines[3].backend.behave = dark.stream
-    took_s: dict[str, float] = {}
-    ends: dict[str, str] = {}
-    pulls = []
-
-    def start_pull(name: str) -> None:
-        pulls.append(asyncio.create_task(pull(fleet, name, took_s, ends)))
-
+        machine.backend.work_s = WORK_S
+    left_s: dict[str, float] = {}
+    ends: dict[str, int] = {}
     try:
-        await fleet.start(create_config(7, [route], ['desk', 'archive']))
-        for number in range(USUAL_PER_S * CALM_S):
-            start_pull(f'before{number}')
-            await asyncio.sleep(1 / USUAL_PER_S)
-        for number in range(BURST):
-            start_pull(f'burst{number}')
-        await asyncio.sleep(DARK_AFTER_S)
-        asyncio.create_task(dark.run(fleet))
-        for number in range(USUAL_PER_S * CALM_S):
-            start_pull(f'after{number}')
-            await asyncio.sleep(1 / USUAL_PER_S)
-        await asyncio.gather(*pulls)
-        await asyncio.sleep(max(DARK_S - CALM_S - LIMIT_MS / 1000, 0))
+        await fleet.start(create_config(7, [route], ['desk', 'intake']))
+        clients = []
+        number = 0
+        for phase_x, phase_s in ((1, 3), (BURST_X, BURST_S), (1, 3)):
+            is_burst = phase_x > 1 and is_troubled()
+            rate = USUAL_PER_S * (phase_x if is_troubled() else 1)
+            for _ in range(int(rate * phase_s)):
+                number += 1
+                gives_up = is_burst and number % 10 < 10 * GIVE_UP_SHARE
+                clients.append(
+                    asyncio.create_task(
+                        upload(fleet, f'up{number}', gives_up, left_s, ends)
+                    )
+                )
+                await asyncio.sleep(1 / rate)
+        await asyncio.gather(*clients)
+        await asyncio.sleep(1)
     finally:
-        dark.is_over.set()
         await fleet.stop()
-    longer = [name for name, s in took_s.items() if s * 1000 > TIMEOUT_MS]
-    unanswered = [
-        name for name in longer if took_s[name] > TIMEOUT_MS / 1000 + GRACE_S
+    late = [
+        (request_id, at_s - left_s[request_id])
+        for machine in fleet.machines
+        for at_s, request_id, _ in machine.backend.arrivals
+        if at_s - left_s.get(request_id, at_s) > LATE_S
     ]
+    for request_id, late_s in late:
+        fleet.record.write(
+            f'{request_id} reached a backend {late_s:.3f} s after its client '
+            'had closed its connection'
+        )
+    after = sorted(
+        a - left_s[r]
+        for m in fleet.machines
+        for a, r, _ in m.backend.arrivals
+        if a > left_s.get(r, a)
+    )
+    print('after', [round(x, 2) for x in after])
+    runs = sum(
+        request_id in dict(late)
+        for machine in fleet.machines
+        for _, request_id in machine.backend.runs
+    )
+    counts: dict[int, int] = {}
+    for status in ends.values():
+        counts[status] = counts.get(status, 0) + 1
     summary = (
-        f'{len(took_s)} downloads, {len(longer)} lasted longer than the '
-        f"route's timeout of {TIMEOUT_MS} ms, {len(unanswered)} of these had "
-        f'no final answer {GRACE_S} s after it; longest '
-        f'{max(took_s.values()):.2f} s, when the client gave up'
+        f'{number} uploads, {len(left_s)} clients left early '
+        f'after all bytes had arrived, '
+        f'{len(late)} of their uploads reached a backend over {LATE_S} s later, '
+        f'{runs} of these were whole and were run;'
+        f' answers by status (0: left or none): {sorted(counts.items())}'
     )
     fleet.record.write(summary)
     print(summary)
-    is_many = len(unanswered) >= MIN_COUNT
-    return not (is_many and len(unanswered) > MAX_SHARE * len(longer))
-
-
-class Dark:
-    """A backend that falls silent for a while (`srv_crash`, `dark`)."""
-
-    def __init__(self) -> None:
-        self.is_dark = False
-        self.is_over = asyncio.Event()
-
-    async def run(self, fleet: Fleet) -> None:
-        if not is_troubled():
-            return
-        self.is_dark = True
-        fleet.machines[3].backend.may_speak.clear()
-        fleet.record.write('the near archive falls silent')
-        await asyncio.sleep(DARK_S)
-        self.is_over.set()
-        fleet.machines[3].backend.may_speak.set()
-        fleet.record.write('the near archive is back; its connections end')
-
-    async def stream(self, backend, head, reader, writer) -> bool:
-        return await stream(backend, head, reader, writer, self)
+    return len(late) <= A_FEW
 
 
-async def stream(backend, head, reader, writer, dark=None) -> bool:
-    """Send a large answer in pieces over the time that the work takes."""
-    request_id = head.get(PREFIX + 'Request-Id')
-    fields = backend.fields(request_id) | {'Content-Length': DOWNLOAD_BYTES}
-    pieces = DOWNLOAD_BYTES // PIECE_BYTES
-    if dark is None or not dark.is_dark:
-        writer.write(encode_head('HTTP/1.1 200 OK', fields))
-    for _ in range(pieces):
-        if dark is not None and dark.is_dark:
-            await dark.is_over.wait()
-            return False
-        writer.write(b'd' * PIECE_BYTES)
-        await writer.drain()
-        await asyncio.sleep(WORK_S / pieces)
-    return True
-
-
-async def pull(fleet, name, took_s, ends) -> None:
-    """Download; measure the time until the answer or the connection ends."""
+async def upload(fleet, request_id, gives_up, left_s, ends) -> None:
+    """Send an upload; leave after a while if there is no answer."""
     machine = fleet.machines[0]
-    start_s = fleet.record.now_s()
     reader, writer = await asyncio.open_connection(
-        machine.ip, machine.port('outbound'), limit=1 << 22
+        machine.ip, machine.port('outbound')
     )
-    fields = {'Host': 'shop.example'} | client_fields(name, LIMIT_MS)
-    writer.write(encode_head('GET /pull/file HTTP/1.1', fields))
-    ends[name] = 'no final answer; the client left at its limit'
+    fields = client_fields(request_id, LIMIT_MS) | {
+        'Host': 'shop.example',
+        'Content-Length': UPLOAD_BYTES,
+    }
+    head = encode_head('POST /up/file HTTP/1.1', fields)
+    fleet.record.write(f'{request_id} is sent')
+    ends[request_id] = 0
+    limit_s = LIMIT_MS / 1000
+    if gives_up:
+        limit_s = Random(request_id).uniform(*GIVE_UP_S)
     try:
-        async with asyncio.timeout(LIMIT_MS / 1000):
+        async with asyncio.timeout(limit_s):
+            writer.write(head + b'u' * UPLOAD_BYTES)
+            await writer.drain()
             answer = await read_head(reader)
-            if answer is None:
-                ends[name] = 'closed without an answer'
-            else:
-                length = int(answer.get('content-length') or 0)
-                await reader.readexactly(length)
-                ends[name] = f'status {answer.first[1]}, whole'
+            if answer is not None:
+                await read_body(reader, answer)
+                ends[request_id] = int(answer.first[1])
     except TimeoutError:
-        pass
+        if gives_up and has_arrived(writer):
+            left_s[request_id] = fleet.record.now_s()
     except (OSError, asyncio.IncompleteReadError):
-        ends[name] = 'cut'
-    took_s[name] = fleet.record.now_s() - start_s
+        pass
     writer.close()
-    fleet.record.write(f'{name} took {took_s[name]:.3f} s: {ends[name]}')
+    fleet.record.write(f'{request_id} ends: {ends[request_id]}')
+
+
+def has_arrived(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the daemon's host has got all bytes of the request.
+
+    The end of the connection follows at once then.
+    """
+    if writer.transport.get_write_buffer_size():
+        return False
+    tcp = writer.get_extra_info('socket')
+    queue = ioctl(tcp.fileno(), TIOCOUTQ, bytes(4))
+    return struct.unpack('i', queue)[0] == 0
 
 
 run_case(main)
