End an unread upload when its client leaves

Cause: an event loop tells of the end of a connection only to a reader, behind all bytes before it. The daemon beside the server reads 64 KiB of an upload that waits for a slot and then pauses. The client's daemon logs the close within 5 ms; the other one logged it for none of the late uploads. Change: while a connection of a listener is not read, the hang-up that the system knows of is watched for and ends it like the end of its bytes. A request that is given up before its bytes are delivered resets its connection: an orderly close waits until the peer has room. Both hold for each wait, as the connection does them.

--- a/bergamotshunt/http/client_connection.py
+++ b/bergamotshunt/http/client_connection.py
@@ -18,9 +18,11 @@
     ResponseHead,
     encode_chunk,
 )
+from bergamotshunt.http.send_queue import count_undelivered_bytes
 from bergamotshunt.http.sockets import (
     UNACKNOWLEDGED_TIMEOUT_MS,
     has_socket_error,
+    reset_on_close,
     set_socket_options,
     set_unacknowledged_timeout,
 )
@@ -290,8 +292,15 @@
         self._transport.write(encode_chunk(chunk) if chunked else chunk)
 
     def close(self) -> None:
-        """Close the connection; a pending request fails."""
+        """Close the connection; a pending request fails.
+
+        A server that does not read would get an orderly close only after
+        the bytes before it, so the connection is reset if it has not got
+        them all.
+        """
         if self._transport is not None:
+            if count_undelivered_bytes(self._transport):
+                reset_on_close(self._transport)
             self._transport.abort()
 
     # Internals
--- a/bergamotshunt/http/listeners.py
+++ b/bergamotshunt/http/listeners.py
@@ -13,6 +13,7 @@
     total_of,
 )
 from bergamotshunt.http.exchanges import Exchange
+from bergamotshunt.http.hangups import HangupWatcher
 from bergamotshunt.http.server_connection import ServerConnection
 from bergamotshunt.log import log_error
 from bergamotshunt.routing import ClientLimits
@@ -47,6 +48,7 @@
 
     Attributes:
         connections: All open connections.
+        hangup_watcher: Watches connections that are not read.
         closing: Whether connections close after their next response.
         closing_idle: Whether idle connections close at once.
         running: Number of running handlers.
@@ -64,6 +66,7 @@
         self.on_connection_end = on_connection_end
         self.create_close_notice = create_close_notice
         self.connections: set[ServerConnection] = set()
+        self.hangup_watcher = HangupWatcher()
         self.closing = False
         self.closing_idle = False
         self.running = 0
@@ -134,6 +137,7 @@
             self._server.close()
         for connection in tuple(self.connections):
             connection.abort(CloseReason.SHUTDOWN)
+        self.hangup_watcher.close()
 
     def _busy_connections(self) -> set[ServerConnection]:
         return {
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -24,6 +24,7 @@
     OpenConnections,
 )
 from bergamotshunt.http.exchanges import Exchange
+from bergamotshunt.http.hangups import HangupWatcher
 from bergamotshunt.http.heads import (
     HeadTooLargeError,
     HeaderCollector,
@@ -55,6 +56,7 @@
     Attributes:
         limits: Limits for clients.
         connections: All open connections.
+        hangup_watcher: Watches connections that are not read.
         closing: Whether connections close after their next response.
         closing_idle: Whether idle connections close at once.
         on_connection_end: Called with the end of each connection.
@@ -64,6 +66,7 @@
 
     limits: ClientLimits
     connections: 'set[ServerConnection]'
+    hangup_watcher: HangupWatcher
     closing: bool
     closing_idle: bool
     on_connection_end: 'Callable[[ConnectionEnd], None]'
@@ -143,13 +146,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handlers of all requests on this connection."""
         self._listener.connections.discard(self)
-        if self._timer is not None:
-            self._timer.cancel()
+        self._stop_checks()
         self._can_write.set()
         self._next_response_changed.set()
         self._report_end(exc)
-        if self._lingering_close is not None:
-            self._lingering_close.cancel()
         self._cancel_exchanges('the client closed its connection')
         self._transport = None
         self._parser = None
@@ -297,7 +297,12 @@
             return
         if self._pause_count > 0:
             self._transport.pause_reading()
+            # Only a reader would notice the client's close otherwise.
+            self._listener.hangup_watcher.watch(
+                self._transport, self._handle_hangup
+            )
         else:
+            self._listener.hangup_watcher.unwatch(self._transport)
             self._transport.resume_reading()
 
     def abort(self, reason: CloseReason) -> None:
@@ -330,6 +335,20 @@
 
     # Internals
 
+    def _stop_checks(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._lingering_close is not None:
+            self._lingering_close.cancel()
+        if self._transport is not None:
+            self._listener.hangup_watcher.unwatch(self._transport)
+
+    def _handle_hangup(self) -> None:
+        """Close the connection, as at the end of what a client sends."""
+        if self._transport is not None and self._lingering_close is None:
+            self.eof_received()
+            self._transport.close()
+
     def _parse(self, received: bytes) -> None:
         """Parse received bytes until too many requests are unfinished.
 
@@ -482,8 +501,7 @@
         if reason is not CloseReason.LAST_RESPONSE:
             self._send_close_notice()
         self._end_recorder.record_close(reason, self._count_unsent_bytes())
-        if self._timer is not None:
-            self._timer.cancel()
+        self._stop_checks()
         self._lingering_close = LingeringClose(
             self._transport,
             self._last_response_s,
--- a/bergamotshunt/http/sockets.py
+++ b/bergamotshunt/http/sockets.py
@@ -1,7 +1,14 @@
 """Options and errors of TCP sockets."""
 
 from asyncio import BaseTransport
-from socket import IPPROTO_TCP, SO_ERROR, SO_KEEPALIVE, SOL_SOCKET
+from contextlib import suppress
+from socket import (
+    IPPROTO_TCP,
+    SO_ERROR,
+    SO_KEEPALIVE,
+    SO_LINGER,
+    SOL_SOCKET,
+)
 from socket import (
     TCP_KEEPCNT,
     TCP_KEEPIDLE,
@@ -9,8 +16,11 @@
     TCP_NODELAY,
     TCP_USER_TIMEOUT,
 )
+from struct import Struct
 from typing import Final
 
+# Two integers of SO_LINGER: whether it is on, and the time in seconds.
+LINGER: Final = Struct('ii')
 # Keep-alive probes detect a peer that vanished without closing the
 # connection.
 KEEPALIVE_IDLE_S: Final = 1
@@ -71,3 +81,12 @@
     tcp = transport.get_extra_info('socket')
     if tcp is not None:
         tcp.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms)
+
+
+def reset_on_close(transport: BaseTransport) -> None:
+    """Let the close of a connection reset it and drop what is unsent."""
+    tcp = transport.get_extra_info('socket')
+    if tcp is not None and tcp.fileno() >= 0:
+        with suppress(OSError):
+            # The connection may have failed already.
+            tcp.setsockopt(SOL_SOCKET, SO_LINGER, LINGER.pack(1, 0))
