Let other daemons remember that a server leaves

Cause: a deregistration was acknowledged while the store could not be written, and only the process that was killed next knew of it. The next process found the entry of before and took a late heartbeat. Change: before a daemon acknowledges that its server leaves, it waits until the store or two of three other daemons know it, for 0.5 s at most; a new process asks them. Where nobody can tell of the past, the first announcement of a server is held until a second one follows.

--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -137,18 +137,40 @@
 
 
 class StoredServerRead(NamedTuple):
-    """The store has told what an earlier process of this daemon wrote.
+    """The store and the witnesses have told what an earlier process knew.
 
     Its server may still run, and the estimates in the entry then still hold.
 
     Attributes:
-        entry: The entry of the backend server on this host; None if the
-            store has none.
+        entry: The newest entry of the backend server on this host; None if
+            nobody has one.
     """
 
     entry: ServerEntry | None
 
 
+class LeavingReported(NamedTuple):
+    """The daemon of another host has acknowledged that its server leaves.
+
+    Attributes:
+        entry: Entry of the server, to be kept for that daemon's next process.
+    """
+
+    entry: ServerEntry
+
+
+class LeavingRecordAsked(NamedTuple):
+    """A new process asks whether the server of its host leaves.
+
+    The reply is the entry that was reported, or None.
+
+    Attributes:
+        ip: Address of the host.
+    """
+
+    ip: str
+
+
 class OwnLoadChanged(NamedTuple):
     """The load of the backend server on this host changed.
 
--- /dev/null
+++ b/bergamotshunt/peers/leaving_records.py
@@ -0,0 +1,117 @@
+"""Requests between daemons about leaving servers that they remember."""
+
+from asyncio import timeout
+from http import HTTPStatus
+from typing import Final
+from urllib.parse import parse_qsl, urlencode
+
+from bergamotshunt.decisions.watch_sources import FeedPeer
+from bergamotshunt.decoding import MalformedInputError, convert_malformed
+from bergamotshunt.http.bodies import IncompleteBodyError
+from bergamotshunt.http.client_pool import ClientPool, WholeResponse
+from bergamotshunt.http.exchanges import Exchange
+from bergamotshunt.http.heads import encode_request_head
+from bergamotshunt.kernel import MessageBus, TaskStoppedError
+from bergamotshunt.mesh_messages import LeavingRecordAsked, LeavingReported
+from bergamotshunt.platform.announcements import (
+    AnnouncementError,
+    decode_entry,
+    encode_entry,
+)
+from bergamotshunt.routing import ServerEntry
+from bergamotshunt.value_checks import check_ipv4
+
+LEAVING_PATH: Final = b'/bergamotshunt/leaving-servers'
+MAX_ENTRY_BYTES: Final = 16_384
+# A daemon waits for its witnesses before it acknowledges or starts to serve.
+REQUEST_TIMEOUT_S: Final = 0.3
+
+
+class WitnessError(Exception):
+    """A daemon did not answer a request about a leaving server."""
+
+
+async def send_record(peer: FeedPeer, entry: ServerEntry) -> None:
+    """Let a peer remember that a server leaves.
+
+    Raises:
+        WitnessError: The peer did not confirm it in time.
+    """
+    await _fetch(peer, b'PUT', LEAVING_PATH, encode_entry(entry))
+
+
+async def fetch_record(peer: FeedPeer, ip: str) -> ServerEntry | None:
+    """Return the entry of a host's leaving server that a peer remembers.
+
+    Raises:
+        WitnessError: The peer did not answer in time.
+    """
+    target = b'%b?%b' % (LEAVING_PATH, urlencode({'ip': ip}).encode())
+    response = await _fetch(peer, b'GET', target)
+    if response.head.status == HTTPStatus.NO_CONTENT:
+        return None
+    try:
+        entry = decode_entry(response.content)
+    except AnnouncementError as error:
+        raise WitnessError(f'unusable record of {peer.ip}: {error}') from error
+    if entry.ip != ip or not entry.is_leaving:
+        raise WitnessError(f'record of {peer.ip} for another host: {entry}')
+    return entry
+
+
+async def serve_leaving_record(exchange: Exchange, bus: MessageBus) -> None:
+    """Respond to a request of a peer: record an entry, or return one."""
+    try:
+        if exchange.head.method == b'PUT':
+            await _serve_report(exchange, bus)
+        else:
+            await _serve_query(exchange, bus)
+    except (MalformedInputError, AnnouncementError):
+        exchange.respond(HTTPStatus.BAD_REQUEST, [])
+    except (TimeoutError, TaskStoppedError):
+        exchange.respond(HTTPStatus.SERVICE_UNAVAILABLE, [])
+    except IncompleteBodyError:
+        exchange.abort()
+
+
+async def _serve_report(exchange: Exchange, bus: MessageBus) -> None:
+    content = await exchange.body.read_up_to(MAX_ENTRY_BYTES)
+    entry = decode_entry(content)
+    if not entry.is_leaving:
+        raise AnnouncementError(f'expected a leaving server, got {entry.state}')
+    await bus.ask(LeavingReported(entry), REQUEST_TIMEOUT_S)
+    exchange.respond(HTTPStatus.NO_CONTENT, [])
+
+
+async def _serve_query(exchange: Exchange, bus: MessageBus) -> None:
+    query = exchange.head.target.partition(b'?')[2]
+    with convert_malformed('malformed query of a leaving server'):
+        fields = dict(parse_qsl(query.decode()))
+        ip = check_ipv4('address of the host', fields['ip'])
+    entry = await bus.ask(LeavingRecordAsked(ip), REQUEST_TIMEOUT_S)
+    if entry is None:
+        exchange.respond(HTTPStatus.NO_CONTENT, [])
+    else:
+        exchange.respond(HTTPStatus.OK, [], encode_entry(entry))
+
+
+async def _fetch(
+    peer: FeedPeer, method: bytes, target: bytes, content: bytes = b''
+) -> WholeResponse:
+    head = encode_request_head(
+        method, target, [(b'Host', peer.ip.encode())], len(content)
+    )
+    pool = ClientPool(peer.ip, peer.port)
+    try:
+        async with timeout(REQUEST_TIMEOUT_S):
+            response = await pool.fetch(head + content, MAX_ENTRY_BYTES)
+    except (ConnectionError, TimeoutError) as error:
+        raise WitnessError(f'no answer of {peer.ip}: {error!r}') from error
+    finally:
+        pool.close()
+    status = response.head.status
+    if status not in {HTTPStatus.OK, HTTPStatus.NO_CONTENT}:
+        raise WitnessError(
+            f'expected status 200 or 204 of {peer.ip}, got {status}'
+        )
+    return response
--- a/bergamotshunt/plugins/mesh/control.py
+++ b/bergamotshunt/plugins/mesh/control.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from bergamotshunt.decisions.announcements import LatestAnnouncement
+from bergamotshunt.decisions.unconfirmed_servers import UnconfirmedServer
 from bergamotshunt.http.bodies import IncompleteBodyError
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.heads import Header
@@ -36,6 +37,10 @@
         """Create the task; ``open`` binds the socket."""
         super().__init__(context, settings_of(context).control)
         self._announcements = LatestAnnouncement()
+        self._unconfirmed = UnconfirmedServer()
+        # Whether an earlier process can't have acknowledged anything that
+        # this one does not know.
+        self._is_past_known = self.mesh.is_first_start
         self._stored_server_read = Event()
 
     @handlers.on(OwnServerChanged)
@@ -48,10 +53,16 @@
         """Apply that the server leaves, as an earlier process has heard."""
         stored = message.entry
         now_s = self.context.clock()
-        if stored is not None and self._announcements.restore(stored, now_s):
-            self._log_server('control:leaving-restored', stored)
-            self.bus.publish(OwnServerChanged(stored))
+        if stored is not None and self._restore(stored, now_s):
+            leaving = self._announcements.latest or stored
+            self._log_server('control:leaving-restored', leaving)
+            self.bus.publish(OwnServerChanged(leaving))
+        self._is_past_known = True
         self._stored_server_read.set()
+        held = self._unconfirmed.take_held()
+        if held is not None and self._announcements.record(held, now_s):
+            self._log_server('control:server-changed', held)
+            self.bus.publish(OwnServerChanged(held))
 
     async def serve(self, exchange: Exchange) -> None:
         """Serve an announcement or a deregistration."""
@@ -101,6 +112,9 @@
                 detail=str(error),
             )
             return HTTPStatus.BAD_REQUEST
+        if not self._may_accept(entry):
+            self._log_server('control:announcement-held', entry)
+            return HTTPStatus.OK
         before = self._announcements.latest
         is_newer = self._announcements.record(entry, self.context.clock())
         latest = self._announcements.latest
@@ -114,8 +128,35 @@
         entry = self._announcements.latest
         if is_known and entry is not None:
             await self._accept(entry, before)
+        else:
+            self._unconfirmed.record_deregistration(instance)
+            log_event('control:unknown-instance-left', instance=instance)
         return HTTPStatus.OK
 
+    def _restore(self, stored: ServerEntry, now_s: float) -> bool:
+        """Apply an earlier entry; return whether its server leaves."""
+        is_leaving = self._announcements.restore(stored, now_s)
+        if self._unconfirmed.is_deregistered(stored.instance):
+            return self._announcements.record_deregistration(stored.instance)
+        return is_leaving
+
+    def _may_accept(self, entry: ServerEntry) -> bool:
+        """Return whether an announcement can't be of a server that has left.
+
+        One that is older than its leaving, as far as that is known, is
+        ignored later on.
+        """
+        latest = self._announcements.latest
+        is_known = latest is not None and (
+            (latest.instance, latest.born_ms) == (entry.instance, entry.born_ms)
+        )
+        if entry.is_leaving or is_known:
+            return True
+        is_deregistered = self._unconfirmed.is_deregistered(entry.instance)
+        if self._is_past_known and not is_deregistered:
+            return True
+        return self._unconfirmed.confirm(entry, self.context.clock())
+
     async def _accept(
         self,
         entry: ServerEntry,
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -3,7 +3,6 @@
 from asyncio import sleep
 from typing import Any, Final
 
-from bergamotshunt.decisions.configuration_confirmation import Confirmation
 from bergamotshunt.decisions.store_contact import StoreContact
 from bergamotshunt.decisions.store_eras import rewrite_window_s
 from bergamotshunt.decisions.watch_sources import (
@@ -20,7 +19,6 @@
     EvacuationsRead,
     OwnConfirmationAdvanced,
     OwnServerChanged,
-    PeerConfirmationReceived,
     PeerVersionReceived,
     RoutingChanged,
     ServerEntryReceived,
@@ -42,6 +40,7 @@
 from bergamotshunt.store.entry_source import EntrySource, SourceObserver
 from bergamotshunt.store.first_peers import FirstPeers
 from bergamotshunt.store.fleet_publisher import FleetPublisher
+from bergamotshunt.store.leaving_witnesses import LeavingWitnesses
 from bergamotshunt.store.own_entry import create_own_entry
 from bergamotshunt.store.own_entry_keeper import EntryObserver, OwnEntryKeeper
 from bergamotshunt.store.server_entries import ServerEntries
@@ -111,7 +110,7 @@
             self._feed,
             SourceObserver(
                 self._apply_update,
-                self._pass_confirmation,
+                self._publisher.publish_confirmation,
                 self._handle_reading,
             ),
             context.clock,
@@ -120,6 +119,9 @@
         self._first_peers = FirstPeers(
             self._store, self._entries, self._set_store_state
         )
+        self._witnesses = LeavingWitnesses(
+            self.mesh.ip, self._keeper.wait_until_written, self.spawn
+        )
         self._connected = True
         self._state = FeedState()
 
@@ -143,7 +145,7 @@
     async def handle_own_server(self, message: OwnServerChanged) -> None:
         """Update this server's entry; write it to the store if it differs.
 
-        That the server leaves is written before the reply: the next process
+        That the server leaves is recorded before the reply: the next process
         of this daemon has to know what was acknowledged.
         """
         self._keeper.update_server(message.entry)
@@ -151,7 +153,7 @@
         self._entries.apply_report(entry)
         self._publisher.publish()
         if entry.is_leaving:
-            await self._keeper.wait_until_written(entry)
+            await self._witnesses.record(entry, self._entries.list_peers())
 
     @handlers.on(SlotShareEstimated)
     def update_slot_share(self, message: SlotShareEstimated) -> None:
@@ -317,11 +319,6 @@
         if update.version > self._feed.version:
             self.bus.publish(PeerVersionReceived(update.version, peer.ip))
 
-    def _pass_confirmation(
-        self, confirmation: Confirmation, peer: FeedPeer
-    ) -> None:
-        self.bus.publish(PeerConfirmationReceived(confirmation, peer.ip))
-
     def _apply_listing(self, listing: Listing) -> None:
         if not self._entries.apply_listing(listing):
             return
@@ -349,8 +346,21 @@
     def _publish_stored_own(self, entry: ServerEntry | None) -> None:
         """Publish this host's entry that an earlier process wrote."""
         self._entries.record_own(entry)
-        self.bus.publish(StoredServerRead(entry))
         self._publisher.publish()
+        if self.mesh.is_first_start:
+            self.bus.publish(StoredServerRead(entry))
+        else:
+            self.spawn(self._publish_newest_own(entry))
+
+    async def _publish_newest_own(self, stored: ServerEntry | None) -> None:
+        """Publish the entry, or a later one that witnesses remember.
+
+        The store lacks what was acknowledged while it was unreachable, or
+        just before it was restored from a copy.
+        """
+        peers = await self._first_peers.list_known()
+        entry = await self._witnesses.find_newest(stored, peers)
+        self.bus.publish(StoredServerRead(entry))
 
     async def _run_expiry(self) -> None:
         while True:
--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -36,6 +36,10 @@
 )
 from bergamotshunt.peers.entry_feed import FEED_PATH
 from bergamotshunt.peers.feed_serving import serve_feed
+from bergamotshunt.peers.leaving_records import (
+    LEAVING_PATH,
+    serve_leaving_record,
+)
 from bergamotshunt.permits import create_permit
 from bergamotshunt.platform.requests import (
     ServerResponseInfo,
@@ -192,6 +196,9 @@
         if head.target.startswith(FEED_PATH):
             await serve_feed(exchange, self.bus)
             return
+        if head.target.startswith(LEAVING_PATH):
+            await serve_leaving_record(exchange, self.bus)
+            return
         call = decode_call(head.by_name.get(CALL_HEADER_KEY, b''))
         if call is None:
             exchange.respond(HTTPStatus.BAD_REQUEST, [])
--- a/bergamotshunt/store/first_peers.py
+++ b/bergamotshunt/store/first_peers.py
@@ -1,6 +1,6 @@
 """Finds the daemons that a new process may follow."""
 
-from asyncio import sleep
+from asyncio import Event, sleep
 from collections.abc import Callable
 from typing import Final
 
@@ -37,6 +37,7 @@
         self._store = store
         self._entries = entries
         self._on_failure = on_failure
+        self._searched = Event()
 
     async def find(self, *, is_first_start: bool) -> tuple[FeedPeer, ...]:
         """Return daemons that may pass on what the store tells.
@@ -44,6 +45,17 @@
         Args:
             is_first_start: Whether the whole fleet starts for the first time.
         """
+        try:
+            return await self._find(is_first_start=is_first_start)
+        finally:
+            self._searched.set()
+
+    async def list_known(self) -> tuple[FeedPeer, ...]:
+        """Return all peers, once the search for those to follow has ended."""
+        await self._searched.wait()
+        return self._entries.list_peers() or await self._list_peers()
+
+    async def _find(self, *, is_first_start: bool) -> tuple[FeedPeer, ...]:
         peers = await self._list_peers()
         if is_first_start and not peers:
             await sleep(FIRST_ANNOUNCEMENTS_S)
--- a/bergamotshunt/store/fleet_publisher.py
+++ b/bergamotshunt/store/fleet_publisher.py
@@ -3,10 +3,16 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from bergamotshunt.decisions.configuration_confirmation import Confirmation
 from bergamotshunt.decisions.evacuations import Evacuations
+from bergamotshunt.decisions.watch_sources import FeedPeer
 from bergamotshunt.kernel import MessageBus
 from bergamotshunt.log import log_event
-from bergamotshunt.mesh_messages import EvacuationsChanged, ServersChanged
+from bergamotshunt.mesh_messages import (
+    EvacuationsChanged,
+    PeerConfirmationReceived,
+    ServersChanged,
+)
 from bergamotshunt.store.entry_feed import EntryFeed
 from bergamotshunt.store.server_entries import ServerEntries
 from bergamotshunt.task_metrics import TaskMetrics
@@ -73,6 +79,12 @@
             self._publish_servers()
             self._publish_members()
 
+    def publish_confirmation(
+        self, confirmation: Confirmation, peer: FeedPeer
+    ) -> None:
+        """Publish that a followed peer confirms its configuration."""
+        self._bus.publish(PeerConfirmationReceived(confirmation, peer.ip))
+
     def describe_state(self) -> dict[str, Any]:
         """Return the evacuated zones and the number of members."""
         return {
--- a/bergamotshunt/store/own_entry_keeper.py
+++ b/bergamotshunt/store/own_entry_keeper.py
@@ -119,14 +119,16 @@
         self._due_s = self._clock() + self._rng.uniform(0, window_s)
         self._changed.set()
 
-    async def wait_until_written(self, entry: ServerEntry) -> None:
+    async def wait_until_written(self, entry: ServerEntry) -> bool:
         """Wait until the store has a server's announced state, but not long.
 
-        While the store does not answer, the server still needs a response.
+        Returns:
+            Whether the store has it.
         """
         with suppress(TimeoutError):
             async with timeout(WRITE_WAIT_TIMEOUT_S), self._written:
                 await self._written.wait_for(lambda: self._is_written(entry))
+        return self._is_written(entry)
 
     async def run(self) -> None:
         """Keep the entry until the task is cancelled.
