Wait for the rest of the start delay after a restart of a new quota owner

Cause: a process that found a ready entry of its host granted at once, however young the entry was; the owner before, cut off from the store, still granted. Its log says so: quotas:owner-changed with grants_after_s 4.5 at the join and 0 at the restart 1.3 s later. Change: where accounts have quotas, the daemon records in the store since when its host has been a member, under the lease of the entry; the next process waits for the rest of the 4.5 s, and for all of it without a record. Why it works: the time is that of the answer to the write, and lease and compare-and-swap rule out a gap, so the age is never overstated.

--- a/bergamotshunt/decisions/fleet_members.py
+++ b/bergamotshunt/decisions/fleet_members.py
@@ -87,17 +87,23 @@
 
     def __init__(self) -> None:
         """Create the state before the first publication."""
-        self._own_entry_stored: bool | None = None
+        self._is_own_read = False
+        self._own_since_s: float | None = None
         self._published: frozenset[Member] | None = None
 
-    def record_own_entry(self, entry: ServerEntry | None) -> None:
+    def record_own(self, since_s: float | None) -> None:
         """Record what the store had of this host at the first read.
 
         Once members were published without it, it stays unknown: owners of
         shared state have already acted on that.
+
+        Args:
+            since_s: Boot time since which it has been a member; None when
+                unknown.
         """
-        if self._own_entry_stored is None:
-            self._own_entry_stored = entry is not None and not entry.is_leaving
+        if not self._is_own_read:
+            self._is_own_read = True
+            self._own_since_s = since_s
 
     def take_changed(
         self, members: frozenset[Member], *, wait: bool
@@ -108,10 +114,10 @@
             members: The current members.
             wait: Whether to wait for the first read of the own entry.
         """
-        if self._own_entry_stored is None and wait:
+        if wait and not self._is_own_read:
             return None
-        self._own_entry_stored = bool(self._own_entry_stored)
+        self._is_own_read = True
         if members == self._published:
             return None
         self._published = members
-        return MembersChanged(members, self._own_entry_stored)
+        return MembersChanged(members, self._own_since_s)
--- a/bergamotshunt/decisions/quota_ownership.py
+++ b/bergamotshunt/decisions/quota_ownership.py
@@ -79,24 +79,24 @@
         ips_by_zone: Mapping[str, Sequence[str]],
         now_s: float,
         *,
-        own_entry_stored: bool = False,
+        own_since_s: float | None = None,
     ) -> bool:
         """Apply a view of the members.
 
         Args:
             ips_by_zone: Addresses of the members of each zone.
             now_s: Boot time.
-            own_entry_stored: Whether the previous process on this host was a
-                member for the start delay and until it ended. It cannot grant
-                any more, so that this process need not wait. A shorter
-                membership is not enough: the owner before may still grant.
+            own_since_s: Boot time since which this host has been a member;
+                None when unknown. The previous process on it cannot grant
+                any more, and the owner before that one has had this time to
+                stop, so that only the rest of the delay is waited for.
 
         Returns:
             Whether the members changed.
         """
         self.ips_by_zone = ips_by_zone
         if not self._leaving:
-            return self._append(now_s, own_entry_stored=own_entry_stored)
+            return self._append(now_s, own_since_s=own_since_s)
         return False
 
     def update_leaving(self, now_s: float, *, leaving: bool) -> None:
@@ -137,15 +137,20 @@
             from_s = view.since_s + view.delay_s
         return from_s
 
-    def _append(self, now_s: float, *, own_entry_stored: bool = False) -> bool:
+    def _append(
+        self, now_s: float, *, own_since_s: float | None = None
+    ) -> bool:
         ips_by_zone = {} if self._leaving else self.ips_by_zone
         if self._views and self._views[-1].ips_by_zone == ips_by_zone:
             return False
         delay_s = START_DELAY_S
         if now_s < self._first_start_end_s:
             delay_s = FIRST_START_DELAY_S
-        if own_entry_stored and not self._views:
-            delay_s = 0
+        if own_since_s is not None and not self._views:
+            # The boot time of a host starts anew with the host: a record of
+            # before may lie in the future.
+            age_s = max(now_s - own_since_s, 0)
+            delay_s = max(delay_s - age_s, 0)
         self._views.append(MemberView(now_s, delay_s, ips_by_zone))
         self.revision += 1
         return True
--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -106,14 +106,13 @@
         members: Daemons beside a ready server; one whose entry is gone stays
             a member for some seconds, as entries that lapsed with a lease
             during an outage come back.
-        own_entry_stored: Whether the store had a ready entry of this host
-            when this process first read it, written 4.5 s before or
-            earlier: the previous process on this host was a member until it
-            ended, and no daemon has an older view of the members.
+        own_since_s: Boot time since which this host has been a member
+            without a gap, as an earlier process on it recorded; None when
+            unknown.
     """
 
     members: frozenset[Member]
-    own_entry_stored: bool
+    own_since_s: float | None
 
 
 class ServersChanged(NamedTuple):
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -67,7 +67,7 @@
         self._store = StoreClient(self.mesh.store, self._handle_era)
         self._era: int | None = None
         self._own_entry = create_own_entry(
-            self._store, self.mesh, context.clock
+            self._store, self.mesh, context.clock, context.boot_clock
         )
         self._keeper = OwnEntryKeeper(
             self._own_entry,
@@ -173,6 +173,7 @@
             message.routing.version,
             needs_confirmation=message.routing.needs_keys,
         )
+        self._keeper.update_age_recording(needed=message.routing.has_quotas)
         if not message.routing.needs_keys:
             # No check is made that could end an earlier failure.
             self._update_state(checks_failed=False)
@@ -345,7 +346,7 @@
 
     def _publish_stored_own(self, entry: ServerEntry | None) -> None:
         """Publish this host's entry that an earlier process wrote."""
-        self._entries.record_own(entry)
+        self._entries.record_own(self._own_entry.member_since_s)
         self._publisher.publish()
         if self.mesh.is_first_start:
             self.bus.publish(StoredServerRead(entry))
--- a/bergamotshunt/plugins/mesh/quotas.py
+++ b/bergamotshunt/plugins/mesh/quotas.py
@@ -108,7 +108,7 @@
         changed = self._ownership.update(
             group_by_zone(message.members),
             self.context.boot_clock(),
-            own_entry_stored=message.own_entry_stored,
+            own_since_s=message.own_since_s,
         )
         self._asker.handle_members_changed()
         if self._account_by_name and changed:
--- a/bergamotshunt/routing.py
+++ b/bergamotshunt/routing.py
@@ -167,6 +167,13 @@
     needs_keys: bool = False
     left_out: tuple[str, ...] = ()
 
+    @property
+    def has_quotas(self) -> bool:
+        """Whether an account has a quota."""
+        return any(
+            account.rate_per_s > 0 for account in self.accounts_by_name.values()
+        )
+
     def __repr__(self) -> str:
         """Return a text without the API keys."""
         return f'Routing(version={self.version})'
--- a/bergamotshunt/store/own_entry.py
+++ b/bergamotshunt/store/own_entry.py
@@ -18,7 +18,8 @@
     OutcomeUnknownError,
 )
 from bergamotshunt.routing import ServerEntry
-from bergamotshunt.stored_items import Item
+from bergamotshunt.store.member_record import MemberRecord
+from bergamotshunt.stored_items import Item, find_item
 
 LEASE_MS: Final = 5000
 # The entry of a server that leaves outlasts a slow restart of its daemon: the
@@ -44,6 +45,7 @@
         lease_ms: Time to live of the lease of a ready server, in
             milliseconds.
         clock: Returns the monotonic time in seconds.
+        boot_clock: Returns the boot time in seconds.
 
     Attributes:
         key: Key of the entry.
@@ -52,6 +54,9 @@
         written: Entry known to be in the store; None when unknown.
         ended_leases: Number of leases that ended.
         renew_interval_s: Time between two renewals, in seconds.
+        member_since_s: Boot time since which the store has had the entry of
+            a ready server of this host without a gap; None when unknown.
+        is_age_recorded: Whether the next process needs to know it.
     """
 
     def __init__(
@@ -60,6 +65,7 @@
         ip: str,
         lease_ms: int,
         clock: Callable[[], float],
+        boot_clock: Callable[[], float],
     ) -> None:
         """Create an entry that is not written yet."""
         self.key = entry_key(ip)
@@ -68,10 +74,15 @@
         self.written: ServerEntry | None = None
         self.ended_leases = 0
         self.renew_interval_s = RENEW_INTERVAL_S
+        self.member_since_s: float | None = None
+        self.is_age_recorded = False
         self._store = store
         self._lease_ms = lease_ms
-        self._granted_ms = 0
+        # Whether the lease is one for a server that leaves.
+        self._granted_leaving = False
         self._clock = clock
+        self._boot_clock = boot_clock
+        self._record = MemberRecord(store, ip)
         self._revision: int | None = 0
 
     async def renew_and_write(self, entry: ServerEntry) -> None:
@@ -100,12 +111,27 @@
         """
         listing = await self._store.list_items(self.key)
         self.apply_listing(listing.items)
-        for found in listing.items:
-            if found.key == self.key and found.content is not None:
-                with suppress(AnnouncementError):
-                    return decode_entry(found.content)
+        stored = find_item(listing.items, self.key)
+        if stored is None or stored.content is None:
+            return None
+        with suppress(AnnouncementError):
+            entry = decode_entry(stored.content)
+            if not entry.is_leaving:
+                self.member_since_s = await self._record.read(stored.lease)
+            return entry
         return None
 
+    async def record_age(self) -> None:
+        """Write since when the host has been a member, if it is one.
+
+        Raises:
+            StoreError: A call to the store failed.
+        """
+        since_s = self.member_since_s
+        is_written = self.written is not None and since_s is not None
+        if self.is_age_recorded and is_written:
+            await self._record.write(self.lease, since_s or 0)
+
     def apply_listing(self, items: tuple[Item, ...]) -> None:
         """Read the revision from a listing if the entry is unknown."""
         if self.written is None:
@@ -126,6 +152,7 @@
         self.lease = 0
         self._revision = 0
         self.written = None
+        self.member_since_s = None
 
     def mark_lost(self) -> None:
         """Record that the store was restored from a copy.
@@ -136,10 +163,11 @@
         self.lease = 0
         self._revision = None
         self.written = None
+        self.member_since_s = None
 
     async def _try_renew_and_write(self, entry: ServerEntry) -> None:
         try:
-            await self._renew_or_grant_lease(self._lease_ms_of(entry))
+            await self._renew_or_grant_lease(entry)
             if is_changed(entry, self.written):
                 await self._write(entry)
         except LeaseEndedError:
@@ -153,18 +181,19 @@
             return max(self._lease_ms, LEAVING_LEASE_MS)
         return self._lease_ms
 
-    async def _renew_or_grant_lease(self, lease_ms: int) -> None:
-        """Renew the lease if due; grant one if none has this duration."""
+    async def _renew_or_grant_lease(self, entry: ServerEntry) -> None:
+        """Renew the lease if due; grant one if none is for this state."""
         now_s = self._clock()
-        if self.lease and self._granted_ms == lease_ms:
+        if self.lease and self._granted_leaving == entry.is_leaving:
             min_age_s = self.renew_interval_s * RENEWAL_DUE_SHARE
             if now_s - self.renewed_s < min_age_s:
                 return
             await self._store.renew_lease(self.lease)
         else:
             # The entry moves to the new lease; an old one ends by itself.
+            lease_ms = self._lease_ms_of(entry)
             self.lease = (await self._store.grant_lease(lease_ms)).id
-            self._granted_ms = lease_ms
+            self._granted_leaving = entry.is_leaving
             self.written = None
         self.renewed_s = now_s
 
@@ -178,6 +207,7 @@
         if self._revision is None:
             await self._read_revision(content)
             if self.written is not None:
+                self._record_written(entry)
                 return
         try:
             self._revision = await self._store.write(
@@ -185,11 +215,21 @@
             )
         except ConflictError as error:
             self._revision = _revision_of(error.items, self.key)
+            self.member_since_s = None
             raise
         except OutcomeUnknownError:
             self._revision = None
+            self.member_since_s = None
             raise
         self.written = entry
+        self._record_written(entry)
+
+    def _record_written(self, entry: ServerEntry) -> None:
+        """Record that the store has the entry: its age counts from now."""
+        if entry.is_leaving:
+            self.member_since_s = None
+        elif self.member_since_s is None:
+            self.member_since_s = self._boot_clock()
 
     async def _read_revision(self, content: bytes) -> None:
         listing = await self._store.list_items(self.key)
@@ -203,11 +243,14 @@
 
 
 def create_own_entry(
-    store: StoreClient, settings: MeshSettings, clock: Callable[[], float]
+    store: StoreClient,
+    settings: MeshSettings,
+    clock: Callable[[], float],
+    boot_clock: Callable[[], float],
 ) -> OwnEntry:
     """Create the entry of the server on this host."""
     lease_ms = max(LEASE_MS, settings.min_lease_ms)
-    return OwnEntry(store, settings.ip, lease_ms, clock)
+    return OwnEntry(store, settings.ip, lease_ms, clock, boot_clock)
 
 
 def is_changed(entry: ServerEntry, written: ServerEntry | None) -> bool:
--- a/bergamotshunt/store/own_entry_keeper.py
+++ b/bergamotshunt/store/own_entry_keeper.py
@@ -103,6 +103,12 @@
         )
         self._changed.set()
 
+    def update_age_recording(self, *, needed: bool) -> None:
+        """Record for the next process since when this host is a member."""
+        if needed and not self._own_entry.is_age_recorded:
+            self._changed.set()
+        self._own_entry.is_age_recorded = needed
+
     def rewrite(self) -> None:
         """Write the entry again: its lease has ended."""
         self._own_entry.mark_expired()
@@ -209,6 +215,7 @@
         renewed_s, ended_leases = own.renewed_s, own.ended_leases
         try:
             await self._renew_and_write()
+            await own.record_age()
         except StoreError as error:
             self._handle_failure(started_s, error)
             return self._retry_delay_s
--- a/bergamotshunt/store/server_entries.py
+++ b/bergamotshunt/store/server_entries.py
@@ -85,9 +85,9 @@
         self._known_servers.expire(self._clock())
         self._members.expire(self._clock())
 
-    def record_own(self, entry: ServerEntry | None) -> None:
-        """Record the entry that an earlier process of this daemon stored."""
-        self._member_publication.record_own_entry(entry)
+    def record_own(self, since_s: float | None) -> None:
+        """Record since when the host has been a member, or None."""
+        self._member_publication.record_own(since_s)
 
     def list_peers(self) -> tuple[FeedPeer, ...]:
         """Return the daemons that may be followed."""
