Reject responses whose status is no HTTP status

Here, the daemon skipped a status below 100 as an interim response, so that the request waited until its deadline and a response behind it counted as the answer; it passed on 600 and more. The guard and the client of other daemons passed on both. Cause: the parsers accept any three digits. Change: both clients check the range 100 to 599. Such a response fails at once with 502, may have run, and its connection is closed.

--- a/bergamotshunt/http/client_connection.py
+++ b/bergamotshunt/http/client_connection.py
@@ -26,6 +26,7 @@
     set_socket_options,
     set_unacknowledged_timeout,
 )
+from bergamotshunt.http.statuses import check_status
 
 # Servers may close an idle connection earlier than their Keep-Alive header
 # states, so only this share of the stated time is used.
@@ -174,11 +175,15 @@
             self._headers.add(name, content, MAX_FRAMING_BYTES)
 
     def on_headers_complete(self) -> None:
-        """Pass the head to the pending request."""
+        """Pass the head to the pending request.
+
+        Raises:
+            InvalidStatusError: The status is none; the parser fails then.
+        """
         self._in_head = False
         if self._response_waiter is None:
             return
-        status = self._parser.get_status_code()
+        status = check_status(self._parser.get_status_code())
         if status < FIRST_FINAL_STATUS:
             self._skipping_response = True
             self._out_of_sync = (
--- a/bergamotshunt/http/transport.py
+++ b/bergamotshunt/http/transport.py
@@ -20,6 +20,7 @@
 
 from bergamotshunt.decisions.deadlines import connect_timeout_ms
 from bergamotshunt.http.clean_connector import CleanConnector
+from bergamotshunt.http.statuses import InvalidStatusError, check_status
 from bergamotshunt.peers.headers import CONTENT_LENGTH, HOP_BY_HOP_HEADERS
 from bergamotshunt.verdicts import (
     CallFailure,
@@ -251,7 +252,13 @@
             )
         except TRANSPORT_ERRORS as error:
             return Failure(classify_error(error, timeout_ms))
-        return Success(OpenResponse(cast(_Response, response), timeout_ms))
+        opened = OpenResponse(cast(_Response, response), timeout_ms)
+        try:
+            check_status(opened.status)
+        except InvalidStatusError as error:
+            opened.discard()
+            return Failure(classify_error(error, timeout_ms))
+        return Success(opened)
 
     async def send(
         self, request: HttpRequest
