Notice a second lost answer of the store as early as the first

Cause: a watch of 1.5 s, 1 s for its answer and up to 0.5 s until the next one use up the 3 s that are allowed, and each failure doubled the wait. Change: the watch of the configuration waits 1 s, the next one follows a timeout at once and waits 0.2 s; the wait doubles only while renewals fail, too. Why it works: 1.0 + 1.0 + 0.13 s for the first loss and less for a later one.

--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -258,7 +258,7 @@
 
 
 class StoreContactChanged(NamedTuple):
-    """Calls to the store are answered again after a failure.
+    """Calls to the store fail, or are answered again after a failure.
 
     Attributes:
         contact: What the calls of this daemon tell of the store.
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -51,7 +51,9 @@
 )
 from bergamotshunt.stored_items import Listing
 
-WATCH_TIMING: Final = WatchTiming(retry_delay_s=0.6, batch_delay_s=0.5)
+WATCH_TIMING: Final = WatchTiming(
+    wait_ms=1500, retry_delay_s=0.6, batch_delay_s=0.5
+)
 EXPIRY_INTERVAL_S: Final = 0.5
 
 
@@ -73,7 +75,7 @@
             self._own_entry,
             EntryObserver(
                 self._set_store_state,
-                self._handle_recovery,
+                self._handle_contact,
                 self._publish_stored_own,
             ),
             context.clock,
@@ -289,7 +291,7 @@
         )
         self.bus.publish(StoreReadingChanged(reading))
 
-    def _handle_recovery(self, contact: StoreContact) -> None:
+    def _handle_contact(self, contact: StoreContact) -> None:
         self._watch.update_contact(contact)
         self.bus.publish(StoreContactChanged(contact))
 
--- a/bergamotshunt/plugins/mesh/routes.py
+++ b/bergamotshunt/plugins/mesh/routes.py
@@ -48,7 +48,10 @@
 from bergamotshunt.store.stored_evacuations import StoredEvacuations
 from bergamotshunt.stored_items import Item, Listing, StorePosition
 
-WATCH_TIMING: Final = WatchTiming(retry_delay_s=0.4, batch_delay_s=0.2)
+# A version whose answer was lost has to be in force in time all the same.
+WATCH_TIMING: Final = WatchTiming(
+    wait_ms=1000, retry_delay_s=0.4, batch_delay_s=0.2
+)
 # The watch of the store usually delivers a new version within this time, so
 # that the daemon need not fetch it from a peer.
 PEER_FETCH_DELAY_S: Final = 0.15
@@ -146,7 +149,8 @@
     async def handle_contact(self, message: StoreContactChanged) -> None:
         """Ask again if the store was away meanwhile."""
         self._watch.update_contact(message.contact)
-        await self._keeper.check()
+        if not message.contact.failing:
+            await self._keeper.check()
 
     @handlers.on(StoreEraSeen)
     def handle_era_seen(self, message: StoreEraSeen) -> None:
--- a/bergamotshunt/store/own_entry_keeper.py
+++ b/bergamotshunt/store/own_entry_keeper.py
@@ -35,13 +35,14 @@
 
     Attributes:
         on_result: Takes the error of a failed update; None after success.
-        on_recovery: Takes the contact when the store answers again.
+        on_contact: Takes the contact when the store ceases to answer, and
+            when it answers again.
         on_stored: Takes the entry that an earlier process wrote, or None,
             once the store has told.
     """
 
     on_result: Callable[[StoreError | None], None]
-    on_recovery: Callable[[StoreContact], None]
+    on_contact: Callable[[StoreContact], None]
     on_stored: Callable[[ServerEntry | None], None]
 
 
@@ -251,5 +252,6 @@
         """Record a renewal of the lease; watches may have to be asked again."""
         before = self.contact
         self.contact = record_call(before, sent_s, self._clock(), failed=failed)
-        if self.contact.recovered_s > before.recovered_s:
-            self._observer.on_recovery(self.contact)
+        has_recovered = self.contact.recovered_s > before.recovered_s
+        if has_recovered or self.contact.failing is not before.failing:
+            self._observer.on_contact(self.contact)
--- a/bergamotshunt/store/store_watch.py
+++ b/bergamotshunt/store/store_watch.py
@@ -18,24 +18,30 @@
 from bergamotshunt.stored_items import Listing, StorePosition
 from bergamotshunt.task_metrics import TaskMetrics
 
-# Only a missing answer shows that the store's answer to a watch was lost, so a
-# watch that is answered waits for a short time. While the store does not
-# answer, the renewals of the lease tell of its return.
-MIN_WAIT_MS: Final = 1500
+# While the store does not answer, the renewals of the lease tell of its return.
 MAX_WAIT_MS: Final = 20_000
+# A watch after a lost answer has news to tell, or is answered soon: a second
+# loss is noticed early.
+RETRY_WAIT_MS: Final = 200
 # Range of the random factor that spreads the retries of the daemons.
 RETRY_JITTER: Final = (0.7, 1.3)
+# After a call that waited for its timeout.
+MIN_RETRY_DELAY_S: Final = 0.1
 
 
 class WatchTiming(NamedTuple):
     """Delays of a watch.
 
     Attributes:
+        wait_ms: How long the store holds a watch without changes, in
+            milliseconds. Only a missing answer shows that an answer was
+            lost, so it is short.
         retry_delay_s: Mean delay after a failed call, in seconds.
         batch_delay_s: Delay after a response, in seconds; changes that
             follow each other arrive with one call.
     """
 
+    wait_ms: int
     retry_delay_s: float
     batch_delay_s: float
 
@@ -94,7 +100,8 @@
         # Era that gave out the revision.
         self._era = 0
         self._asked_s = inf
-        self._wait_ms = MIN_WAIT_MS
+        self._wait_ms = timing.wait_ms
+        self._store_is_away = False
         self._abandon_requested = Event()
         self._enabled = Event()
         self._enabled.set()
@@ -107,6 +114,7 @@
 
     async def step(self) -> None:
         """Make the next call, and wait until another one may follow."""
+        started_s = self._clock()
         try:
             await self._ask()
         except HistoryGoneError:
@@ -115,10 +123,9 @@
             self._revision = None
             await sleep(self._timing.batch_delay_s)
         except StoreError as error:
-            self._wait_ms = min(2 * self._wait_ms, MAX_WAIT_MS)
+            self._wait_ms = self._next_wait_ms()
             self._observer.on_failure(error)
-            jitter = self._rng.uniform(*RETRY_JITTER)
-            await sleep(self._timing.retry_delay_s * jitter)
+            await sleep(self._retry_delay_s(self._clock() - started_s))
 
     def resume_after(self, position: StorePosition) -> None:
         """Watch the changes after a position that is known otherwise."""
@@ -142,8 +149,9 @@
 
     def update_contact(self, contact: StoreContact) -> None:
         """Ask again if other calls show that the pending watch is lost."""
+        self._store_is_away = contact.failing
         if is_watch_lost(self._asked_s, contact):
-            self._wait_ms = MIN_WAIT_MS
+            self._wait_ms = self._timing.wait_ms
             self.abandon('store-was-away')
 
     def abandon(self, reason: str) -> None:
@@ -193,12 +201,32 @@
             if not answer.items:
                 listing = answer._replace(revision=self._revision)
             self._observer.on_changes(listing)
-        self._wait_ms = MIN_WAIT_MS
+        self._wait_ms = self._timing.wait_ms
         self._era = listing.era
         self._revision = listing.revision
         self.answered_s = self._clock()
         await sleep(self._timing.batch_delay_s)
 
+    def _next_wait_ms(self) -> int:
+        """Return the wait of the watch that follows a failure.
+
+        One answer may have been lost. Watches become rare only if other
+        calls fail, too.
+        """
+        if not self._store_is_away:
+            return RETRY_WAIT_MS
+        doubled_ms = max(2 * self._wait_ms, self._timing.wait_ms)
+        return min(doubled_ms, MAX_WAIT_MS)
+
+    def _retry_delay_s(self, took_s: float) -> float:
+        """Return the time until the next call after one that failed.
+
+        Args:
+            took_s: Time that the failed call took.
+        """
+        delay_s = max(self._timing.retry_delay_s - took_s, MIN_RETRY_DELAY_S)
+        return delay_s * self._rng.uniform(*RETRY_JITTER)
+
     async def _wait_for_changes(self, revision: int) -> Listing | None:
         """Return the next changes; None if the watch was abandoned.
 
--- a/bergamotshunt/tests/test_store_silence.py
+++ b/bergamotshunt/tests/test_store_silence.py
@@ -19,7 +19,7 @@
     Mesh,
     configuration,
 )
-from bergamotshunt.store.store_watch import MIN_WAIT_MS
+from bergamotshunt.plugins.mesh.fleet import WATCH_TIMING
 from standins.mesh_server import respond_with_echo
 
 # The users' figure for the time in which a configuration is in force.
@@ -90,7 +90,7 @@
                 'op/config', configuration(2, READ_ROUTE, BOOKING_ROUTE)
             )
             # Each pending watch ends without a change meanwhile.
-            await asyncio.sleep(MIN_WAIT_MS / 1000 + 0.5)
+            await asyncio.sleep(WATCH_TIMING.wait_ms / 1000 + 0.5)
             mesh.store.deaf = False
             mesh.store.compact()
             async with asyncio.timeout(CONTACT_S):
