Pass on requests behind a download when it is whole

Cause: requests behind a download on one connection were passed on at once. If the download broke off, the connection had to close, and they ended without an answer. Change: behind an unfinished response of a download route, a request waits before it takes a token of a quota and before it is passed on; if its time runs out, it is refused as not run. Why it works: what was not passed on counts as not read, and clients send it again.

--- a/bergamotshunt/http/exchanges.py
+++ b/bergamotshunt/http/exchanges.py
@@ -32,6 +32,9 @@
     async def drain(self, exchange: 'Exchange') -> None:
         """Wait until the exchange may write more."""
 
+    async def wait_for_earlier(self, exchange: 'Exchange') -> None:
+        """Wait until no earlier response may break off."""
+
     def set_reading(self, reading: bool) -> None:
         """Pause or resume reading from the client."""
 
@@ -54,6 +57,8 @@
         started: Whether the head of the response was written.
         finished: Whether the whole response was written.
         closing: Whether the connection closes after the response.
+        may_break_off: Whether the response is likely to be streamed, so that
+            its source may fail within it; the handler sets it.
         task: Task that runs the handler, if it was started.
         request_id: Id of the request for logs; the handler sets it.
     """
@@ -68,6 +73,7 @@
         self.started = False
         self.finished = False
         self.closing = False
+        self.may_break_off = False
         self.task: AsyncioTask[None] | None = None
         self.request_id = ''
         self._chunked = False
@@ -133,6 +139,14 @@
         """Wait until the client has received most of the written bytes."""
         await self.connection.drain(self)
 
+    async def wait_for_earlier(self) -> None:
+        """Wait until no earlier response on the connection may break off.
+
+        The connection closes with a response that breaks off, and nobody
+        would get the response to this request.
+        """
+        await self.connection.wait_for_earlier(self)
+
     def take_pending_output(self) -> list[bytes]:
         """Return and clear output that waited for earlier responses."""
         pending = self._pending_output
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
+from itertools import takewhile
 from math import inf
 from typing import Any, Final, Protocol
 
@@ -285,6 +286,11 @@
             await self._next_response_changed.wait()
         await self._can_write.wait()
 
+    async def wait_for_earlier(self, exchange: Exchange) -> None:
+        """Wait until no response before this one may break off."""
+        while self._has_uncertain_before(exchange):
+            await self._next_response_changed.wait()
+
     def set_reading(self, reading: bool) -> None:
         """Pause or resume reading; pauses are counted.
 
@@ -537,6 +543,14 @@
         last = self._exchanges[-1]
         return last.closing and last.body.complete
 
+    def _has_uncertain_before(self, exchange: Exchange) -> bool:
+        earlier = takewhile(
+            lambda other: other is not exchange, self._exchanges
+        )
+        return any(
+            other.may_break_off and not other.finished for other in earlier
+        )
+
     def _cancel_exchanges(self, reason: str) -> None:
         for exchange in self._exchanges:
             exchange.body.mark_incomplete(reason)
--- a/bergamotshunt/plugins/mesh/outbound.py
+++ b/bergamotshunt/plugins/mesh/outbound.py
@@ -1,7 +1,8 @@
 """Outbound: requests of the clients on this host."""
 
-from asyncio import sleep
+from asyncio import sleep, timeout_at
 from collections import Counter
+from contextlib import suppress
 from http import HTTPStatus
 from math import inf
 from typing import Any, Final
@@ -38,7 +39,7 @@
     without_credentials,
 )
 from bergamotshunt.quota_task_messages import QuotaGranted
-from bergamotshunt.routing import Route, Routing
+from bergamotshunt.routing import RequestKind, Route, Routing
 
 MS_PER_S: Final = 1000
 # Within this time after the signal to stop, clients notice that the daemon is
@@ -222,6 +223,10 @@
         )
 
     async def _forward_within_quota(self, request: ForwardedRequest) -> None:
+        # A request that is late by then is refused as not run.
+        with suppress(TimeoutError):
+            async with timeout_at(request.deadline_s):
+                await request.exchange.wait_for_earlier()
         account = request.account
         credit = None
         if account is not None and request.route.requires_key:
@@ -251,6 +256,7 @@
         # A response that was started in time may take the rest of the time
         # that the client has.
         exchange.deadline_s = exchange.arrived_s + client_timeout_ms / MS_PER_S
+        exchange.may_break_off = route.kind is RequestKind.DOWNLOAD
         return ForwardedRequest(
             exchange=exchange,
             info=info,
