--- a/bergamotshunt/http/hangups.py
+++ b/bergamotshunt/http/hangups.py
@@ -20,12 +20,13 @@
     behind all bytes before it. The system knows earlier, also while received
     bytes wait to be read.
 
-    A watcher without the system's support never reports anything.
+    Without the system's support, it reports nothing and says so once.
     """
 
     def __init__(self) -> None:
         """Create a watcher without connections."""
         self._epoll: epoll | None = None
+        self._has_failed = False
         self._descriptors_by_transport: dict[BaseTransport, int] = {}
         self._handlers_by_descriptor: dict[int, Callable[[], None]] = {}
 
@@ -46,7 +47,7 @@
         try:
             self._open().register(descriptor, HANGUP_EVENTS)
         except (OSError, ValueError) as error:
-            log_event('connection:not-watched', detail=repr(error))
+            self._report_failure(error)
             return
         self._descriptors_by_transport[transport] = descriptor
         self._handlers_by_descriptor[descriptor] = on_hangup
@@ -74,6 +75,11 @@
             self._epoll.close()
             self._epoll = None
 
+    def _report_failure(self, error: Exception) -> None:
+        if not self._has_failed:
+            self._has_failed = True
+            log_event('connection:not-watched', detail=repr(error))
+
     def _open(self) -> epoll:
         if self._epoll is None:
             self._epoll = epoll()
--- a/bergamotshunt/plugins/mesh/control.py
+++ b/bergamotshunt/plugins/mesh/control.py
@@ -141,10 +141,10 @@
         return is_leaving
 
     def _may_accept(self, entry: ServerEntry) -> bool:
-        """Return whether an announcement can't be of a server that has left.
+        """Return whether an announcement may be compared with the latest.
 
-        One that is older than its leaving, as far as that is known, is
-        ignored later on.
+        That of a server that may have left, as far as this process knows,
+        waits for a second one.
         """
         latest = self._announcements.latest
         is_known = latest is not None and (
