Keep the lease of an entry over a restart of its daemon

Change: a new process goes on with the lease of the ready entry that it finds, and with its slot share; the entry and the record stay as they are. The peers that were found at the start are not listed twice. Why it is safe: the process before is dead, and nobody else renews that lease; if it has ended, the first renewal says so.

--- a/bergamotshunt/store/first_peers.py
+++ b/bergamotshunt/store/first_peers.py
@@ -38,6 +38,7 @@
         self._entries = entries
         self._on_failure = on_failure
         self._searched = Event()
+        self._found: tuple[FeedPeer, ...] = ()
 
     async def find(self, *, is_first_start: bool) -> tuple[FeedPeer, ...]:
         """Return daemons that may pass on what the store tells.
@@ -46,14 +47,16 @@
             is_first_start: Whether the whole fleet starts for the first time.
         """
         try:
-            return await self._find(is_first_start=is_first_start)
+            self._found = await self._find(is_first_start=is_first_start)
         finally:
             self._searched.set()
+        return self._found
 
     async def list_known(self) -> tuple[FeedPeer, ...]:
         """Return all peers, once the search for those to follow has ended."""
         await self._searched.wait()
-        return self._entries.list_peers() or await self._list_peers()
+        known = self._entries.list_peers() or self._found
+        return known or await self._list_peers()
 
     async def _find(self, *, is_first_start: bool) -> tuple[FeedPeer, ...]:
         peers = await self._list_peers()
--- a/bergamotshunt/store/member_record.py
+++ b/bergamotshunt/store/member_record.py
@@ -57,9 +57,11 @@
             return None
         try:
             since_s: float = decode_json(item.content, 'value', float)
-            return check_number('time', since_s)
+            check_number('time', since_s)
         except (MalformedInputError, ValueError):
             return None
+        self._written = (entry_lease, since_s)
+        return since_s
 
     async def write(self, lease: int, since_s: float) -> None:
         """Write the record unless the store has it.
--- a/bergamotshunt/store/own_entry.py
+++ b/bergamotshunt/store/own_entry.py
@@ -106,6 +106,9 @@
     async def read(self) -> ServerEntry | None:
         """Return the entry that an earlier process wrote, if there is one.
 
+        That of a ready server stays under its lease: nobody else renews it,
+        and the record of the membership lies under it, too.
+
         Raises:
             StoreError: The call to the store failed.
         """
@@ -118,6 +121,8 @@
             entry = decode_entry(stored.content)
             if not entry.is_leaving:
                 self.member_since_s = await self._record.read(stored.lease)
+                self.lease = stored.lease
+                self.written = entry
             return entry
         return None
 
--- a/bergamotshunt/store/own_entry_keeper.py
+++ b/bergamotshunt/store/own_entry_keeper.py
@@ -168,8 +168,10 @@
             return False
         self._record_call(started_s, failed=False)
         self._observer.on_result(None)
-        if stored is not None and stored.is_leaving:
-            self._keep_leaving(stored)
+        if stored is not None:
+            self._slot_share = self._slot_share or stored.slot_share
+            if stored.is_leaving:
+                self._keep_leaving(stored)
         self._observer.on_stored(stored)
         return True
 
--- a/bergamotshunt/tests/test_mesh_member_record.py
+++ b/bergamotshunt/tests/test_mesh_member_record.py
@@ -9,6 +9,7 @@
 from bergamotshunt.decisions.quota_ownership import START_DELAY_S
 from bergamotshunt.kernel import Envelope
 from bergamotshunt.mesh_messages import MembersChanged
+from bergamotshunt.platform.announcements import entry_key
 from bergamotshunt.plugins.mesh.quotas import QuotasTask
 from bergamotshunt.store.member_record import RECORD_KEY_PREFIX, MemberRecord
 from bergamotshunt.tests.mesh import (
@@ -152,3 +153,27 @@
             assert members.own_since_s is None
 
     asyncio.run(run_scenario())
+
+
+def test_restart_of_a_daemon_writes_nothing() -> None:
+    """Guards against calls to the store that a restart does not need.
+
+    The entry stays under the lease of the process before.
+    """
+
+    async def run_scenario() -> None:
+        async with Mesh([respond_with_echo] * 2) as mesh:
+            await mesh.store.put('op/config', document_with_quota(2))
+            await mesh.wait_until(lambda: record_of(mesh) is not None)
+            key = entry_key(mesh.hosts[RESTARTED].settings.ip)
+            writes = len(mesh.store.read_history(key))
+            mesh.store.calls.clear()
+            await record_first_members(await restart(mesh))
+            await mesh.announce(RESTARTED, seq=2)
+            await mesh.wait_until(lambda: mesh.is_serving(RESTARTED))
+            own = mesh.fleet(RESTARTED)._own_entry
+            await mesh.wait_until(lambda: own.renewed_s > 0)
+            assert len(mesh.store.read_history(key)) == writes
+            assert '/-/kv-lease' not in mesh.store.calls
+
+    asyncio.run(run_scenario())
