Bound the output that waits for clients which read nothing

Cause: a written response counts as finished, so that all requests that were sent ahead were run, and their responses piled up. Change: no further request of a connection is started while its client leaves over 64 KiB unread; above 32 MiB on all connections of a port, those that hold most are closed.

--- a/bergamotshunt/decisions/connection_closing.py
+++ b/bergamotshunt/decisions/connection_closing.py
@@ -1,6 +1,7 @@
-"""Decision how long a closing connection waits for its peer."""
+"""Decisions which connections close, and how long they wait for their peers."""
 
-from typing import Final, NamedTuple
+from collections.abc import Mapping
+from typing import Final, NamedTuple, TypeVar
 
 # While the daemon stops, a peer that takes no byte of a response for this time
 # is treated as lost, so that it does not delay the next start; but not before
@@ -11,6 +12,8 @@
 # on its way, so received bytes are read and discarded meanwhile.
 LINGER_TIMEOUT_S: Final = 0.5
 
+Connection = TypeVar('Connection')
+
 
 def stall_deadline_s(
     progress_s: float,
@@ -87,3 +90,25 @@
         stall_end_s: Until when the client may make no progress, in seconds.
     """
     return progress.is_awaited and now_s >= stall_end_s
+
+
+def choose_largest(
+    sizes: Mapping[Connection, int], max_bytes: int
+) -> list[Connection]:
+    """Choose the connections to close so that the rest keep a limit.
+
+    Args:
+        sizes: Bytes that each connection holds.
+        max_bytes: Limit for all together.
+
+    Returns:
+        Those that hold most; none while the limit is kept.
+    """
+    excess_bytes = sum(sizes.values()) - max_bytes
+    chosen = []
+    for connection in sorted(sizes, key=sizes.__getitem__, reverse=True):
+        if excess_bytes <= 0:
+            break
+        chosen.append(connection)
+        excess_bytes -= sizes[connection]
+    return chosen
--- a/bergamotshunt/http/exchanges.py
+++ b/bergamotshunt/http/exchanges.py
@@ -26,6 +26,9 @@
     def transmit(self, chunk: bytes) -> None:
         """Write bytes to the client."""
 
+    def report_unread(self) -> None:
+        """Report that output waits for an earlier response."""
+
     def flush(self) -> None:
         """Complete finished responses and write output of the next one."""
 
@@ -147,6 +150,11 @@
         """
         await self.connection.wait_for_earlier(self)
 
+    @property
+    def pending_bytes(self) -> int:
+        """Size of the output that waits for earlier responses."""
+        return sum(map(len, self._pending_output))
+
     def take_pending_output(self) -> list[bytes]:
         """Return and clear output that waited for earlier responses."""
         pending = self._pending_output
@@ -158,3 +166,4 @@
             self.connection.transmit(chunk)
         else:
             self._pending_output.append(chunk)
+            self.connection.report_unread()
--- a/bergamotshunt/http/listeners.py
+++ b/bergamotshunt/http/listeners.py
@@ -4,8 +4,10 @@
 from asyncio import Task as AsyncioTask
 from collections.abc import Callable, Coroutine
 from http import HTTPStatus
+from math import inf
 from typing import Any, Final
 
+from bergamotshunt.decisions.connection_closing import choose_largest
 from bergamotshunt.http.connection_ends import (
     CloseReason,
     ConnectionEnd,
@@ -19,6 +21,12 @@
 from bergamotshunt.routing import ClientLimits
 
 BACKLOG: Final = 1024
+# Limit on the output of all connections that waits in memory for clients to
+# read. A streamed response stops at 64 KiB, and 64 whole ones of that size may
+# wait on a connection: eight such connections, or 512 that have one each.
+MAX_UNREAD_BYTES: Final = 33_554_432
+# Interval at which the limit is checked while output waits.
+UNREAD_CHECK_INTERVAL_S: Final = 0.05
 DEFAULT_LIMITS: Final = ClientLimits()
 
 Handler = Callable[[Exchange], Coroutine[Any, Any, None]]
@@ -70,6 +78,7 @@
         self.closing = False
         self.closing_idle = False
         self.running = 0
+        self._unread_checked_s = -inf
         self._handler = handler
         self._server: Server | None = None
         self._progress = Event()
@@ -117,6 +126,22 @@
         """Report that a connection may have become idle."""
         self._progress.set()
 
+    def limit_unread(self) -> None:
+        """Close connections if their clients leave too much output unread.
+
+        Those that hold most of it go first.
+        """
+        now_s = self.now_s()
+        if now_s - self._unread_checked_s < UNREAD_CHECK_INTERVAL_S:
+            return
+        self._unread_checked_s = now_s
+        sizes = {
+            connection: connection.unread_bytes
+            for connection in self.connections
+        }
+        for connection in choose_largest(sizes, MAX_UNREAD_BYTES):
+            connection.abort(CloseReason.STALLED)
+
     async def wait_until_idle(self) -> None:
         """Wait until the connections that are busy now have been idle.
 
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -82,6 +82,9 @@
     def report_progress(self) -> None:
         """Report that a connection may have become idle."""
 
+    def limit_unread(self) -> None:
+        """Close connections if their clients leave too much output unread."""
+
 
 class ServerConnection(AsyncioProtocol):
     """A client's connection; the handler of each request runs in a task."""
@@ -160,11 +163,13 @@
     def pause_writing(self) -> None:
         """Stop writing responses: the client does not read."""
         self._can_write.clear()
+        self._limit_pipelining()
         self._end_recorder.record_unsent(self._count_unsent_bytes())
 
     def resume_writing(self) -> None:
         """Resume writing responses."""
         self._can_write.set()
+        self._limit_pipelining()
         self._end_recorder.record_unsent(self._count_unsent_bytes())
         self._listener.report_progress()
 
@@ -232,6 +237,7 @@
         self._head_bytes = 0
         if exchange is not None:
             exchange.body.finish()
+        self._limit_pipelining()
         self.flush()
 
     @property
@@ -241,6 +247,14 @@
             1, len(self._exchanges), self._count_unsent_bytes()
         )
 
+    @property
+    def unread_bytes(self) -> int:
+        """Output in memory that the system has not accepted yet."""
+        pending_bytes = sum(
+            exchange.pending_bytes for exchange in self._exchanges
+        )
+        return pending_bytes + self._count_unsent_bytes()
+
     @property
     def busy(self) -> bool:
         """Whether a response is due, unsent, or maybe not received yet."""
@@ -269,6 +283,12 @@
         if self._transport is not None and self._lingering_close is None:
             self._transport.write(chunk)
             self._written_bytes += len(chunk)
+            if not self._can_write.is_set():
+                self._listener.limit_unread()
+
+    def report_unread(self) -> None:
+        """Report that output waits for an earlier response."""
+        self._listener.limit_unread()
 
     def flush(self) -> None:
         """Complete finished responses and write output of the next one."""
@@ -426,14 +446,25 @@
         return True
 
     def _limit_pipelining(self) -> None:
-        """Pause reading once while too many requests are unfinished."""
-        is_full = len(self._exchanges) > MAX_PIPELINED_REQUESTS
+        """Pause reading while no further request may start."""
+        is_full = self._is_full()
         if is_full is not self._is_pipeline_full:
             self._is_pipeline_full = is_full
             self.set_reading(not is_full)
             if self._unparsed and not is_full:
                 get_running_loop().call_soon(self._resume_parsing)
 
+    def _is_full(self) -> bool:
+        """Return whether no further request may start.
+
+        A client that reads no responses gets no further ones either: whole
+        responses wait in memory. A body is received all the same, since the
+        client may send it before it reads.
+        """
+        if len(self._exchanges) > MAX_PIPELINED_REQUESTS:
+            return True
+        return not self._can_write.is_set() and not self._is_in_body()
+
     def _ignore_upgrade(self, unparsed: memoryview) -> None:
         """Parse on as if the client had not offered another protocol.
 
