Take silent witnesses for an unknown past

The witnesses had not answered within 0.3 s, and the new process took that for the absence of a record. Change: two of the three have to answer, as two have recorded a leaving that is acknowledged without the store. They are asked up to four times; without two answers, the stored entry is not adopted and the first announcement is held, as while the store is down. Evidence: a new test in which no witness answers passes; it reads a field that the code before does not have. 26 tests of leaving, restart and drain pass.

--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -143,9 +143,12 @@
     Attributes:
         entry: The newest entry of the backend server on this host; None if
             nobody has one.
+        is_certain: Whether enough has been learned to be sure that the
+            server has not left since.
     """
 
     entry: ServerEntry | None
+    is_certain: bool = True
 
 
 class LeavingReported(NamedTuple):
--- a/bergamotshunt/plugins/mesh/control.py
+++ b/bergamotshunt/plugins/mesh/control.py
@@ -57,8 +57,10 @@
             leaving = self._announcements.latest or stored
             self._log_server('control:leaving-restored', leaving)
             self.bus.publish(OwnServerChanged(leaving))
-        self._is_past_known = True
         self._stored_server_read.set()
+        if not message.is_certain:
+            return
+        self._is_past_known = True
         held = self._unconfirmed.take_held()
         if held is not None and self._announcements.record(held, now_s):
             self._log_server('control:server-changed', held)
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -362,8 +362,8 @@
         just before it was restored from a copy.
         """
         peers = await self._first_peers.list_known()
-        entry = await self._witnesses.find_newest(stored, peers)
-        self.bus.publish(StoredServerRead(entry))
+        newest = await self._witnesses.find_newest(stored, peers)
+        self.bus.publish(StoredServerRead(*newest))
 
     async def _run_expiry(self) -> None:
         while True:
--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -155,7 +155,7 @@
         if message.entry is None:
             return
         self._server.restore_slot_share(message.entry)
-        if self._server.entry is None:
+        if self._server.entry is None and message.is_certain:
             self._stored_entry = message.entry
 
     @handlers.on(NestedCallStarted)
--- a/bergamotshunt/store/leaving_witnesses.py
+++ b/bergamotshunt/store/leaving_witnesses.py
@@ -1,6 +1,6 @@
 """Daemons that remember for this one that its server leaves."""
 
-from asyncio import FIRST_COMPLETED, gather, timeout, wait
+from asyncio import FIRST_COMPLETED, gather, sleep, timeout, wait
 from asyncio import Task as AsyncioTask
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from contextlib import suppress
@@ -21,8 +21,12 @@
 
 # A server counts an announcement as lost after a second without a response.
 RECORD_TIMEOUT_S: Final = 0.5
-# One of them may be the next to stop.
+# Two of three that have recorded an entry and two that answer have one in
+# common.
 MIN_CONFIRMATIONS: Final = 2
+# While many daemons start at once, their witnesses do, too.
+ASK_ROUNDS: Final = 4
+ASK_INTERVAL_S: Final = 0.2
 
 
 class WitnessAnswer(NamedTuple):
@@ -37,6 +41,18 @@
     failure: str = ''
 
 
+class NewestEntry(NamedTuple):
+    """The newest entry of this host's server that could be learned.
+
+    Attributes:
+        entry: The entry; None if nobody has one.
+        is_certain: Whether enough witnesses have answered.
+    """
+
+    entry: ServerEntry | None
+    is_certain: bool
+
+
 class LeavingWitnesses:
     """Lets peers remember that the server of this host leaves.
 
@@ -90,7 +106,7 @@
 
     async def find_newest(
         self, stored: ServerEntry | None, peers: Iterable[FeedPeer]
-    ) -> ServerEntry | None:
+    ) -> NewestEntry:
         """Return the newest entry of this host's server that is known.
 
         Args:
@@ -98,18 +114,34 @@
             peers: Daemons that may be witnesses.
         """
         witnesses = choose_witnesses(self._own_ip, peers)
+        for round_number in range(ASK_ROUNDS):
+            if round_number:
+                await sleep(ASK_INTERVAL_S)
+            newest = await self._ask(stored, witnesses)
+            if newest.is_certain:
+                break
+        return newest
+
+    async def _ask(
+        self, stored: ServerEntry | None, witnesses: tuple[FeedPeer, ...]
+    ) -> NewestEntry:
+        """Ask all witnesses once."""
         answers = await gather(
             *(_ask_witness(peer, self._own_ip) for peer in witnesses)
         )
         newest = newest_entry([stored, *(answer.entry for answer in answers)])
+        failures = [answer.failure for answer in answers if answer.failure]
+        needed = min(MIN_CONFIRMATIONS, len(witnesses))
+        is_certain = len(answers) - len(failures) >= needed
         log_event(
             'fleet:witnesses-asked',
             witnesses=[peer.ip for peer in witnesses],
-            failures=[answer.failure for answer in answers if answer.failure],
+            failures=failures,
+            certain=is_certain,
             stored_state=stored and stored.state.value,
             newest_state=newest and newest.state.value,
         )
-        return newest
+        return NewestEntry(newest, is_certain)
 
     def _is_recorded(self, entry: ServerEntry) -> bool:
         recorded = self._recorded
--- a/bergamotshunt/tests/test_mesh_leaving_witnesses.py
+++ b/bergamotshunt/tests/test_mesh_leaving_witnesses.py
@@ -19,8 +19,9 @@
 from bergamotshunt.decisions.watch_sources import FeedPeer
 from bergamotshunt.kernel import Envelope
 from bergamotshunt.mesh_messages import StoredServerRead
-from bergamotshunt.peers.leaving_records import LEAVING_PATH
+from bergamotshunt.peers.leaving_records import LEAVING_PATH, WitnessError
 from bergamotshunt.routing import AnnouncedState, ServerEntry
+from bergamotshunt.store import leaving_witnesses
 from bergamotshunt.tests.mesh import Mesh, send_request
 from standins.mesh_server import respond_with_echo
 
@@ -140,6 +141,32 @@
     asyncio.run(run_scenario())
 
 
+def test_late_heartbeat_is_held_while_no_witness_answers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against silence that is taken for the absence of a record.
+
+    The store is back with the entry from before, but no witness answers.
+    """
+
+    async def fail(_peer: FeedPeer, _ip: str) -> None:
+        raise WitnessError('no answer')
+
+    async def run_scenario() -> None:
+        async with Mesh([respond_with_echo] * HOSTS) as mesh:
+            mesh.store.unavailable = True
+            await deregister(mesh)
+            monkeypatch.setattr(leaving_witnesses, 'fetch_record', fail)
+            started = await start_next_process(mesh)
+            mesh.store.unavailable = False
+            read = (await started.get()).message
+            assert not read.is_certain
+            assert await mesh.announce(LEAVER, seq=8, born=BORN_MS) == 200
+            await assert_unused(mesh)
+
+    asyncio.run(run_scenario())
+
+
 def test_deregistration_counts_before_the_past_is_known() -> None:
     """Guards against a deregistration that a new process forgets.
 
