Reserve the ports of test listeners until they are closed

`free_ports` released the ports that it had chosen, and a listener of the same test on any free port (the stand-in server on the same address, opened next) could get one of them.

Change: the pool of ports of the fault matrix, which binds without listening, moves to standins/ports.py, takes several addresses and consecutive ports, and replaces `free_ports` in the mesh, the quota tests, the signal test and the soak, where ports of one host were assumed to be free on all others.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -14,10 +14,11 @@
 from msgspec.json import encode
 
 from bench.hosts import Host
-from bench.processes import IP, Child, NotReadyError, Ports, poll_until
+from bench.processes import IP, Child, NotReadyError, poll_until
 from bench.shapes import Shape
 from bergamotshunt.operators.targets import ServiceTargets
 from bergamotshunt.operators.targets_codec import service_to_document
+from standins.ports import Ports
 
 READY_TIMEOUT_S: Final = 60
 CALL_TIMEOUT_S: Final = 5
@@ -48,7 +49,7 @@
         self.shape = shape
         self.seed = seed
         self.settings = settings or {}
-        self.ports = Ports()
+        self.ports = Ports(IP)
         self.platform_port = self.ports.reserve()
         self.platform_control_port = self.ports.reserve()
         self.hosts = self.plan_hosts()
--- a/bench/hops.py
+++ b/bench/hops.py
@@ -19,7 +19,7 @@
 from hdrh.histogram import HdrHistogram
 from returns.result import Success
 
-from bench.processes import Child, Ports
+from bench.processes import Child
 from bergamotshunt.http.transport import HttpClient, HttpRequest
 from bergamotshunt.http.web import HttpServer, decode_headers, send_whole
 from bergamotshunt.kernel import Context, Kernel, MessageBus
@@ -38,6 +38,7 @@
     DaemonSettings,
     Settings,
 )
+from standins.ports import Ports
 
 IP: Final = '127.0.0.1'
 SERVICE: Final = 'jar-ledger'
@@ -199,7 +200,7 @@
     Raises:
         RuntimeError: A response is not the expected one.
     """
-    ports = Ports()
+    ports = Ports(IP)
     backend_port, guard_port, entry_port = (ports.reserve() for _ in range(3))
     guard_headers = {DEADLINE_MS: '5000', TARGET: 'balance'}
     routes = [
--- a/bench/hosts.py
+++ b/bench/hosts.py
@@ -1,6 +1,7 @@
 """Host of a fleet: a backend server and the daemon beside it."""
 
-from bench.processes import IP, Child, Ports
+from bench.processes import IP, Child
+from standins.ports import Ports
 
 
 class Host:
--- a/bench/mesh_fleet.py
+++ b/bench/mesh_fleet.py
@@ -15,9 +15,9 @@
     LOOPBACK_PREFIX,
     READ_ROUTE,
     configuration,
-    free_ports,
 )
 from standins.mesh_store import MeshStore
+from standins.ports import Ports
 
 PORT_NAMES: Final = (
     'outbound',
@@ -26,7 +26,6 @@
     'ready',
     'server',
     'store',
-    'datagrams',
 )
 READY_TIMEOUT_S: Final = 60
 END_TIMEOUT_S: Final = 30.0
@@ -60,6 +59,12 @@
         self.versions: list[int] = []
         self.stopped = Event()
         self._host_count = host_count
+        self._ports = Ports(
+            *(
+                f'{LOOPBACK_PREFIX}.{FIRST_HOST + number}'
+                for number in range(host_count)
+            )
+        )
         self._tasks: list[AsyncioTask[Any]] = []
         self._supervisors: list[AsyncioTask[None]] = []
 
@@ -75,7 +80,7 @@
             seed=self.seed,
             folder=self.folder,
             history=self.history,
-            ports=_choose_ports(),
+            ports=self._reserve_ports(),
             store=Address('127.0.0.1', self.store.port),
         )
         for number in range(self._host_count):
@@ -105,11 +110,18 @@
             await host.peer_link.close()
             await host.store_link.close()
         await self.store.close()
+        self._ports.close()
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a task until the fleet ends."""
         self._tasks.append(create_task(work))
 
+    def _reserve_ports(self) -> dict[str, int]:
+        ports = {name: self._ports.reserve() for name in PORT_NAMES}
+        # The daemon serves its metrics on the port after this one.
+        ports['datagrams'] = self._ports.reserve(2)
+        return ports
+
     async def configure(self) -> None:
         """Write the next configuration, which adds a route."""
         self.versions.append(self.versions[-1] + 3 if self.versions else 1)
@@ -135,15 +147,6 @@
         self.stopped.set()
 
 
-def _choose_ports() -> dict[str, int]:
-    ip = f'{LOOPBACK_PREFIX}.{FIRST_HOST}'
-    while True:
-        ports = dict(zip(PORT_NAMES, free_ports(ip, len(PORT_NAMES))))
-        # The daemon serves its metrics on the next port.
-        if ports['datagrams'] + 1 not in ports.values():
-            return ports
-
-
 async def _wait_until_ready(host: MeshHost) -> None:
     async def is_ready() -> bool:
         return await call(host.outbound, b'GET', '/read/0/0', b'')
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,4 +1,4 @@
-"""Child processes with reserved ports that always end with their parent."""
+"""Child processes that always end with their parent."""
 
 from asyncio import create_subprocess_exec, sleep, timeout
 from asyncio.subprocess import DEVNULL, Process
@@ -7,7 +7,6 @@
 from os import environ, getcwd
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
-from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
 from sys import executable
 from typing import Any, Final
 
@@ -23,31 +22,6 @@
     """A condition on a process did not hold before the timeout."""
 
 
-class Ports:
-    """Reserves free TCP ports of the loopback interface.
-
-    Each port stays bound without listening, so that no other process gets
-    its number, while a child that sets SO_REUSEADDR can listen on it.
-    """
-
-    def __init__(self) -> None:
-        """Create the pool without reserved ports."""
-        self._sockets: list[socket] = []
-
-    def reserve(self) -> int:
-        """Reserve a free TCP port and return its number."""
-        bound = socket(AF_INET, SOCK_STREAM)
-        bound.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
-        bound.bind((IP, 0))
-        self._sockets.append(bound)
-        return int(bound.getsockname()[1])
-
-    def close(self) -> None:
-        """Release all reserved ports."""
-        for bound in self._sockets:
-            bound.close()
-
-
 class Child:
     """A Python child process whose output goes to a log file.
 
--- a/bergamotshunt/tests/mesh.py
+++ b/bergamotshunt/tests/mesh.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import os
-import socket
 from base64 import b64decode, b64encode
 from collections.abc import Callable
-from contextlib import ExitStack
 from typing import Any, NamedTuple
 
 from msgspec.json import decode, encode
@@ -24,10 +22,11 @@
 from bergamotshunt.plugins.mesh.routes import RoutesTask
 from standins.mesh_server import Behaviour, MeshServer
 from standins.mesh_store import MeshStore
+from standins.ports import Ports
 
 WAIT_TIMEOUT_S = 20.0
-# Loopback addresses derived from the process id, so that no other process
-# takes a port between its choice and its use.
+# Loopback addresses derived from the process id, so that tests that run at
+# once do not share them.
 LOOPBACK_PREFIX = f'127.{1 + os.getpid() % 200}.{os.getpid() // 200 % 250}'
 HOST = b'shop.example'
 BOUNDS = Bounds(retry_ratio=0.2, retry_slack=400, retry_window_s=0.5)
@@ -49,24 +48,6 @@
     server: MeshServer
 
 
-def free_ports(ip: str, count: int) -> list[int]:
-    """Return different free ports; each stays bound until all are chosen."""
-    with ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.create_server((ip, 0)))
-            for _ in range(count)
-        ]
-        return [bound.getsockname()[1] for bound in sockets]
-
-
-def other_free_ports(ip: str, count: int, taken: list[int]) -> list[int]:
-    """Return free ports; none of them is taken for all hosts."""
-    while True:
-        ports = free_ports(ip, count)
-        if not set(ports) & set(taken):
-            return ports
-
-
 def configuration(version: int, *routes: dict[str, Any]) -> str:
     entries = [
         {
@@ -139,6 +120,12 @@
         self.hosts: list[Host] = []
         self._behaviours = behaviours
         self._zones = zones or ('zone-1',) * len(behaviours)
+        self._ips = [
+            f'{LOOPBACK_PREFIX}.{number + 11}'
+            for number in range(len(behaviours))
+        ]
+        self._peer_ports = Ports(*self._ips)
+        self._ports_by_ip = {ip: Ports(ip) for ip in self._ips}
 
     async def __aenter__(self) -> 'Mesh':
         await self.store.open()
@@ -146,9 +133,9 @@
             'op/config', configuration(1, READ_ROUTE, BOOKING_ROUTE)
         )
         # Daemons expect the same ports for their peers on all hosts.
-        ports = free_ports(f'{LOOPBACK_PREFIX}.11', 2)
+        peer_ports = self._peer_ports.reserve(), self._peer_ports.reserve()
         for number, behaviour in enumerate(self._behaviours):
-            await self._add(number, behaviour, ports)
+            await self._add(number, behaviour, peer_ports)
         for number in range(len(self.hosts)):
             assert await self.announce(number) == 200
         await self.wait_until(
@@ -161,27 +148,29 @@
             await host.kernel.stop()
             await host.server.close()
         await self.store.close()
+        for ports in (self._peer_ports, *self._ports_by_ip.values()):
+            ports.close()
 
     async def _add(
-        self, number: int, behaviour: Behaviour, peer_ports: list[int]
+        self, number: int, behaviour: Behaviour, peer_ports: tuple[int, int]
     ) -> None:
-        ip = f'{LOOPBACK_PREFIX}.{number + 11}'
+        ip = self._ips[number]
         server = MeshServer(f'i-{number}', behaviour)
         await server.open(ip)
         datagram_port, inbound = peer_ports
-        outbound, control, ready, metrics = other_free_ports(ip, 4, peer_ports)
+        ports = self._ports_by_ip[ip]
         settings = MeshSettings(
             daemon_id=f'daemon-{number}',
             ip=ip,
             zone=self._zones[number],
             service='shop',
             server=Address(ip, server.port),
-            outbound=Address(ip, outbound),
+            outbound=Address(ip, ports.reserve()),
             inbound=Address(ip, inbound),
-            control=Address(ip, control),
-            ready=Address(ip, ready),
+            control=Address(ip, ports.reserve()),
+            ready=Address(ip, ports.reserve()),
             datagram_port=datagram_port,
-            metrics=Address(ip, metrics),
+            metrics=Address(ip, ports.reserve()),
             store=Address('127.0.0.1', self.store.port),
             bounds=self._bounds,
         )
--- a/bergamotshunt/tests/test_mesh_quotas.py
+++ b/bergamotshunt/tests/test_mesh_quotas.py
@@ -37,11 +37,8 @@
 from bergamotshunt.routing import ClientAccount, ClientLimits, Routing
 from bergamotshunt.settings import DaemonSettings, Settings
 from bergamotshunt.task_metrics import Series
-from bergamotshunt.tests.mesh import (
-    LOOPBACK_PREFIX,
-    WAIT_TIMEOUT_S,
-    free_ports,
-)
+from bergamotshunt.tests.mesh import LOOPBACK_PREFIX, WAIT_TIMEOUT_S
+from standins.ports import Ports
 
 ZONES = ('zone-1', 'zone-2')
 # A limit of 260 in a window: four shards hold 8.25 tokens each.
@@ -66,11 +63,15 @@
         self.gate.handle_granted(message)
 
 
+def ip_of(number: int) -> str:
+    return f'{LOOPBACK_PREFIX}.{number + 11}'
+
+
 class QuotaHost:
     """The tasks of one daemon that take part in quotas."""
 
     def __init__(self, number: int, port: int, clock: list[float]) -> None:
-        ip = f'{LOOPBACK_PREFIX}.{number + 11}'
+        ip = ip_of(number)
         nowhere = Address(ip, 0)
         mesh = MeshSettings(
             daemon_id=f'daemon-{number}',
@@ -145,7 +146,8 @@
 
     def __init__(self) -> None:
         self.clock = [1000.0]
-        (port,) = free_ports(f'{LOOPBACK_PREFIX}.11', 1)
+        self.ports = Ports(*map(ip_of, range(2)))
+        port = self.ports.reserve()
         self.hosts = [
             QuotaHost(number, port, self.clock) for number in range(2)
         ]
@@ -176,6 +178,7 @@
     finally:
         for host in mesh.hosts:
             await host.stop()
+        mesh.ports.close()
 
 
 async def acquire_all(host: QuotaHost, count: int) -> list[QuotaDecision]:
--- a/bergamotshunt/tests/test_mesh_signals.py
+++ b/bergamotshunt/tests/test_mesh_signals.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 import sys
-from contextlib import suppress
+from contextlib import closing, suppress
 from pathlib import Path
 from signal import SIG_DFL, SIG_IGN, SIGHUP, SIGTERM, getsignal, signal
 
@@ -12,7 +12,8 @@
 from bergamotshunt import __main__ as command
 from bergamotshunt import mesh_daemon
 from bergamotshunt.platform.boot import FILE_VARIABLE
-from bergamotshunt.tests.mesh import LOOPBACK_PREFIX, free_ports
+from bergamotshunt.tests.mesh import LOOPBACK_PREFIX
+from standins.ports import Ports
 
 DAEMON = (sys.executable, '-um', 'bergamotshunt', 'daemon', '--platform')
 SIGNAL_INTERVAL_S = 0.005
@@ -27,8 +28,8 @@
 listen.inbound={ip}:{ports[2]}
 listen.ready={ip}:{ports[3]}
 listen.control={ip}:{ports[4]}
-port_range={ports[5]},{last_port}
-platform.address={ip}:{ports[6]}
+port_range={first_port},{last_port}
+platform.address={ip}:{ports[5]}
 platform.min_ttl_ms=1000
 bounds=grace_s=6,retry_budget_ratio=0.2,budget_window_s=10,budget_slack=56
 """
@@ -62,13 +63,21 @@
 
     Closing the event loop restores the default action of its signals.
     """
-    ports = free_ports(IP, 7)
     settings = tmp_path / 'settings.conf'
-    settings.write_text(
-        SETTINGS.format(ip=IP, ports=ports, last_port=ports[5] + 1),
-        encoding='utf-8',
-    )
-    assert asyncio.run(signal_until_exit(settings)) == 0
+    with closing(Ports(IP)) as reserved:
+        ports = [reserved.reserve() for _ in range(6)]
+        # Datagrams, and metrics on the port after them.
+        first_port = reserved.reserve(2)
+        settings.write_text(
+            SETTINGS.format(
+                ip=IP,
+                ports=ports,
+                first_port=first_port,
+                last_port=first_port + 1,
+            ),
+            encoding='utf-8',
+        )
+        assert asyncio.run(signal_until_exit(settings)) == 0
 
 
 def test_reload_signal_does_not_end_a_daemon_that_starts(
