--- a/bench/fault_matrix.py
+++ b/bench/fault_matrix.py
@@ -46,6 +46,11 @@
     step: str
     reason: str = ''
 
+    @property
+    def label(self) -> str:
+        """Track, faults and step, as reports name the cell."""
+        return f'{self.track}: {" + ".join(self.faults)} at {self.step}'
+
 
 TRACKS_BY_NAME: Final = {
     'request': Track(
