Let the client of a test mesh wait for its connection

One event loop runs the client, all daemons and the stand-ins, so the time says nothing about a daemon.

Change: `send_request` waits for its connection as long as for its response (WAIT_TIMEOUT_S). What the tests check, and their time limits, stay.

--- a/bergamotshunt/tests/mesh.py
+++ b/bergamotshunt/tests/mesh.py
@@ -322,7 +322,8 @@
     body: bytes = b'',
     headers: list[Header] | None = None,
 ) -> ClientResponse:
-    pool = ClientPool(address.ip, address.port)
+    # The event loop that makes the connection also runs all daemons.
+    pool = ClientPool(address.ip, address.port, WAIT_TIMEOUT_S)
     head = encode_request_head(
         method, path.encode(), [(b'Host', HOST), *(headers or [])], len(body)
     )
