--- a/bergamotshunt/tests/mesh.py
+++ b/bergamotshunt/tests/mesh.py
@@ -75,14 +75,17 @@
     return b64encode(encode(document)).decode()
 
 
-def with_accounts(document: str, *keys: str) -> str:
-    """Add a client account with these API keys to a configuration."""
+def with_accounts(document: str, *keys: str, **limits: int) -> str:
+    """Add a client account with these API keys to a configuration.
+
+    The limits are fields of the account, as the platform names them.
+    """
     content = decode(b64decode(document))
     content['resources'].append(
         {
             'entry_kind': 'tenants',
             'metadata': {'name': 'account-1'},
-            'spec': {'api_keys': list(keys), 'priority': 1},
+            'spec': {'api_keys': list(keys), 'priority': 1, **limits},
         }
     )
     return b64encode(encode(content)).decode()
--- a/bergamotshunt/tests/test_mesh_member_record.py
+++ b/bergamotshunt/tests/test_mesh_member_record.py
@@ -1,11 +1,8 @@
 """The next process of a daemon knows since when its host is a member."""
 
 import asyncio
-from base64 import b64decode, b64encode
 from functools import partial
 
-from msgspec.json import decode, encode
-
 from bergamotshunt.decisions.quota_ownership import START_DELAY_S
 from bergamotshunt.kernel import Envelope
 from bergamotshunt.mesh_messages import MembersChanged
@@ -17,30 +14,17 @@
     READ_ROUTE,
     Mesh,
     configuration,
+    with_accounts,
 )
 from standins.mesh_server import respond_with_echo
 
 RESTARTED = 1
-KEY = 'key-1'
 
 
 def document_with_quota(version: int) -> str:
     """Return a configuration with an account that has a quota."""
     document = configuration(version, READ_ROUTE, BOOKING_ROUTE)
-    content = decode(b64decode(document))
-    content['resources'].append(
-        {
-            'entry_kind': 'tenants',
-            'metadata': {'name': 'account-1'},
-            'spec': {
-                'api_keys': [KEY],
-                'priority': 1,
-                'rate_per_s': 100,
-                'burst': 0,
-            },
-        }
-    )
-    return b64encode(encode(content)).decode()
+    return with_accounts(document, 'key-1', rate_per_s=100, burst=0)
 
 
 def record_of(mesh: Mesh) -> float | None:
