Let a response that breaks off end no other on its connection

Cause: whoever failed within a response closed the whole connection. The log shows it: `carrier:answer-cut` names the last of four requests, `connection:ended-incomplete` the first, with four responses due.

Change: as long as no byte of a response was sent, 502 or 504 takes its place. It begins only when it is whole, nothing behind it was passed on, or over 1 MiB of it is kept; a request is passed on only when no earlier response has begun and is not whole. A response that breaks off later closes the connection in order, so that earlier responses are delivered. A body that grows too long within its response goes the same way.

--- a/bergamotshunt/decisions/connection_closing.py
+++ b/bergamotshunt/decisions/connection_closing.py
@@ -11,10 +11,31 @@
 # unread bytes resets the connection, which can destroy the end of a response
 # on its way, so received bytes are read and discarded meanwhile.
 LINGER_TIMEOUT_S: Final = 0.5
+# Longest part of a response that is kept while it is not whole and others
+# depend on its connection. Whole ones of a connection may keep four times as
+# much in memory.
+MAX_HELD_BYTES: Final = 1_048_576
 
 Connection = TypeVar('Connection')
 
 
+def may_begin_sending(
+    held_bytes: int, *, is_whole: bool, others_depend: bool
+) -> bool:
+    """Return whether the first byte of the next response may be sent.
+
+    A response that breaks off before can be replaced. Afterwards only the end
+    of the connection tells that it broke off, and ends the responses behind
+    it as well.
+
+    Args:
+        held_bytes: Bytes of the response that are kept.
+        is_whole: Whether these are all.
+        others_depend: Whether requests behind it were passed on.
+    """
+    return is_whole or not others_depend or held_bytes > MAX_HELD_BYTES
+
+
 def stall_deadline_s(
     progress_s: float,
     idle_timeout_s: float,
--- a/bergamotshunt/http/connection_ends.py
+++ b/bergamotshunt/http/connection_ends.py
@@ -32,6 +32,15 @@
     SHUTDOWN = 'shutdown'
 
 
+# A close within a response is not explained by what ends the connection later.
+WITHIN_RESPONSE = frozenset(
+    (
+        CloseReason.REJECTED,
+        CloseReason.TIMEOUT,
+        CloseReason.RESPONSE_CUT,
+        CloseReason.HANDLER_FAILED,
+    )
+)
 CLOSED_BY_CLIENT = frozenset(
     (CloseReason.CLIENT_CLOSED, CloseReason.CONNECTION_FAILED)
 )
@@ -116,7 +125,8 @@
     def record_abort(self, reason: CloseReason, unsent_bytes: int) -> None:
         """Record that the connection closes without sending the rest."""
         self._unsent_bytes = unsent_bytes
-        self._reason = reason
+        if self._reason not in WITHIN_RESPONSE:
+            self._reason = reason
         self._is_aborted = True
 
     def end(
--- a/bergamotshunt/http/listeners.py
+++ b/bergamotshunt/http/listeners.py
@@ -179,7 +179,6 @@
             log_error('listener:handler-failed', error)
             exchange.fail(HTTPStatus.BAD_GATEWAY, [])
         else:
-            if not exchange.finished:
-                exchange.abort()
+            exchange.end_unanswered()
         finally:
             self.running -= 1
--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -3,10 +3,8 @@
 from asyncio import Event, TimerHandle, Transport, get_running_loop
 from asyncio import Protocol as AsyncioProtocol
 from asyncio import Task as AsyncioTask
-from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
-from itertools import takewhile
 from math import inf
 from typing import Any, Final, Protocol
 
@@ -36,6 +34,7 @@
     CHECK_INTERVAL_S,
     LingeringClose,
 )
+from bergamotshunt.http.response_queue import ResponseQueue
 from bergamotshunt.http.send_queue import count_undelivered_bytes
 from bergamotshunt.http.sockets import format_address, set_socket_options
 from bergamotshunt.routing import ClientLimits
@@ -47,6 +46,8 @@
 # body is, behind which requests may follow, too.
 HEAD_PIECE_BYTES: Final = 2048
 BODY_PIECE_BYTES: Final = 16_384
+# A request may cross the close of a connection for one of these reasons.
+IDLE_REASONS: Final = frozenset((CloseReason.IDLE, CloseReason.SHUTDOWN))
 CONNECT: Final = b'CONNECT'
 CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -97,7 +98,7 @@
         self._parser: Any = HttpRequestParser(self)
         # Received bytes that wait until fewer requests are unfinished.
         self._unparsed = b''
-        self._exchanges: deque[Exchange] = deque()
+        self._exchanges = ResponseQueue()
         self._arriving: Exchange | None = None
         self._headers = HeaderCollector()
         self._target = b''
@@ -107,7 +108,6 @@
         self._timer: TimerHandle | None = None
         self._can_write = Event()
         self._can_write.set()
-        self._next_response_changed = Event()
         self._pause_count: int = 0
         self._is_pipeline_full = False
         self._rejecting = False
@@ -152,7 +152,7 @@
         self._listener.connections.discard(self)
         self._stop_checks()
         self._can_write.set()
-        self._next_response_changed.set()
+        self._exchanges.wake_waiting()
         self._report_end(exc)
         self._cancel_exchanges('the client closed its connection')
         self._transport = None
@@ -208,8 +208,8 @@
             exchange.closing = True
         self._exchanges.append(exchange)
         if exchange.head.by_name.get(b'expect', b'').lower() == b'100-continue':
-            if self.is_next_response(exchange):
-                self.transmit(CONTINUE)
+            if self._exchanges.is_first(exchange):
+                self._transmit(CONTINUE)
         self._limit_pipelining()
         length = exchange.head.length
         if length is not None and length > self._listener.limits.body_bytes:
@@ -269,31 +269,27 @@
 
     # Interface for exchanges
 
-    def is_next_response(self, exchange: Exchange) -> bool:
-        """Return whether the response is the next one to send."""
-        return bool(self._exchanges) and self._exchanges[0] is exchange
+    def is_only(self, exchange: Exchange) -> bool:
+        """Return whether no other response is due."""
+        return len(self._exchanges) == 1 and self._exchanges.is_first(exchange)
 
     def is_closing_after(self, exchange: Exchange) -> bool:
         """Return whether the connection closes after this response."""
         is_closing = self._rejecting or self._listener.closing
-        return is_closing and self._exchanges[-1] is exchange
+        return is_closing and self._exchanges.is_last(exchange)
 
-    def transmit(self, chunk: bytes) -> None:
-        """Write bytes to the client."""
-        if self._transport is not None and self._lingering_close is None:
-            self._transport.write(chunk)
-            self._written_bytes += len(chunk)
-            if not self._can_write.is_set():
-                self._listener.limit_unread()
-
-    def report_unread(self) -> None:
-        """Report that output waits for an earlier response."""
-        self._listener.limit_unread()
+    def send_pending(self, exchange: Exchange) -> None:
+        """Send pending output of a response if it may be sent now."""
+        if self._exchanges.may_send(exchange):
+            for chunk in exchange.take_pending_output():
+                self._transmit(chunk)
+        else:
+            self._listener.limit_unread()
 
     def flush(self) -> None:
         """Complete finished responses and write output of the next one."""
         while self._exchanges:
-            if not self._flush_response(self._exchanges[0]):
+            if not self._flush_response(self._exchanges.first):
                 return
         self._idle_since_s = self._listener.now_s()
         self._listener.report_progress()
@@ -302,14 +298,13 @@
 
     async def drain(self, exchange: Exchange) -> None:
         """Wait until the exchange may write more."""
-        while self._transport and not self.is_next_response(exchange):
-            await self._next_response_changed.wait()
+        while self._transport and not self._exchanges.is_first(exchange):
+            await self._exchanges.wait_for_change()
         await self._can_write.wait()
 
     async def wait_for_earlier(self, exchange: Exchange) -> None:
-        """Wait until no response before this one may break off."""
-        while self._has_uncertain_before(exchange):
-            await self._next_response_changed.wait()
+        """Wait until no response before this one may close the connection."""
+        await self._exchanges.wait_for_earlier(exchange)
 
     def set_reading(self, reading: bool) -> None:
         """Pause or resume reading; pauses are counted.
@@ -331,6 +326,13 @@
             self._listener.hangup_watcher.unwatch(self._transport)
             self._transport.resume_reading()
 
+    def break_off(self, exchange: Exchange, reason: CloseReason) -> None:
+        """Send what was written of a response, and close the connection."""
+        for other in self._exchanges.behind(exchange):
+            other.cancel('an earlier response broke off')
+        self._last_response_s = self._listener.now_s()
+        self._close(reason)
+
     def abort(self, reason: CloseReason) -> None:
         """Close the connection at once and drop what is unsent."""
         if self._transport is not None:
@@ -361,6 +363,13 @@
 
     # Internals
 
+    def _transmit(self, chunk: bytes) -> None:
+        if self._transport is not None and self._lingering_close is None:
+            self._transport.write(chunk)
+            self._written_bytes += len(chunk)
+            if not self._can_write.is_set():
+                self._listener.limit_unread()
+
     def _stop_checks(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -422,8 +431,7 @@
         Returns:
             Whether the response after it may be written now.
         """
-        for chunk in exchange.take_pending_output():
-            self.transmit(chunk)
+        self.send_pending(exchange)
         if not exchange.finished:
             return False
         # Nobody reads the rest of the body: it must not keep reading paused.
@@ -433,12 +441,10 @@
             if not (exchange.closing or self._listener.closing_idle):
                 return False
             exchange.closing = True
-        self._exchanges.popleft()
+        self._exchanges.remove_first()
         self._end_recorder.request_id = exchange.request_id
         self._last_response_s = self._listener.now_s()
         self._last_deadline_s = exchange.deadline_s
-        self._next_response_changed.set()
-        self._next_response_changed = Event()
         if exchange.closing:
             self._close(CloseReason.LAST_RESPONSE)
             return False
@@ -490,7 +496,7 @@
         if self._arriving is not None:
             self.on_message_complete()
         if self._exchanges:
-            self._exchanges[-1].closing = True
+            self._exchanges.last.closing = True
 
     def _create_head(self) -> RequestHead:
         headers = tuple(self._headers.headers)
@@ -519,15 +525,11 @@
     def _reject_exchange(self, exchange: Exchange, status: HTTPStatus) -> None:
         self._rejecting = True
         exchange.closing = True
-        exchange.body.mark_incomplete(
-            f'the request was rejected with status {status.value}'
-        )
-        if exchange.task is not None:
-            exchange.task.cancel()
-        if exchange.started:
-            self.abort(CloseReason.REJECTED)
-        elif not exchange.finished:
-            exchange.respond(status, [])
+        exchange.cancel(f'the request was rejected with status {status.value}')
+        if exchange.finished:
+            self.flush()
+        else:
+            exchange.break_off(CloseReason.REJECTED, status)
 
     def _close(self, reason: CloseReason) -> None:
         """Send what is buffered and close once the client has it."""
@@ -535,7 +537,7 @@
             return
         if self._lingering_close is not None:
             return
-        if reason is not CloseReason.LAST_RESPONSE:
+        if reason in IDLE_REASONS:
             self._send_close_notice()
         self._end_recorder.record_close(reason, self._count_unsent_bytes())
         self._stop_checks()
@@ -550,14 +552,14 @@
     def _send_close_notice(self) -> None:
         notice = self._listener.create_close_notice()
         if notice:
-            self.transmit(notice)
+            self._transmit(notice)
             self._last_response_s = self._listener.now_s()
 
     def _stall_deadline_s(self, progress_s: float) -> float:
         listener = self._listener
         request_deadline_s = self._last_deadline_s
         if self._exchanges:
-            request_deadline_s = self._exchanges[0].deadline_s
+            request_deadline_s = self._exchanges.first.deadline_s
         return stall_deadline_s(
             progress_s,
             listener.limits.idle_timeout_ms / MS_PER_S,
@@ -571,22 +573,12 @@
             return True
         if not self._exchanges:
             return False
-        last = self._exchanges[-1]
+        last = self._exchanges.last
         return last.closing and last.body.complete
 
-    def _has_uncertain_before(self, exchange: Exchange) -> bool:
-        earlier = takewhile(
-            lambda other: other is not exchange, self._exchanges
-        )
-        return any(
-            other.may_break_off and not other.finished for other in earlier
-        )
-
     def _cancel_exchanges(self, reason: str) -> None:
         for exchange in self._exchanges:
-            exchange.body.mark_incomplete(reason)
-            if exchange.task is not None:
-                exchange.task.cancel()
+            exchange.cancel(reason)
         self._exchanges.clear()
 
     def _count_unsent_bytes(self) -> int:
@@ -617,7 +609,7 @@
         """Whether unsent bytes, or a body that nobody reads, hold it open."""
         if self._count_unsent_bytes():
             return True
-        return bool(self._exchanges) and self._exchanges[0].finished
+        return bool(self._exchanges) and self._exchanges.first.finished
 
     def _count_moved_bytes(self) -> int:
         if self._transport is None:
--- a/bergamotshunt/ingress/request_proxy.py
+++ b/bergamotshunt/ingress/request_proxy.py
@@ -1,13 +1,15 @@
 """Forwards clients' requests to servers and sends the responses back."""
 
 from asyncio import Timeout, get_running_loop, timeout_at
+from functools import partial
 from http import HTTPStatus
 from typing import Final
 
 from bergamotshunt.choice.dispatching import Dispatcher
 from bergamotshunt.choice.peer_attempts import AttemptOutcome
-from bergamotshunt.http.bodies import IncompleteBodyError
+from bergamotshunt.http.bodies import Body, IncompleteBodyError
 from bergamotshunt.http.connection_ends import CloseReason
+from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.ingress.forwarded_requests import ForwardedRequest
 from bergamotshunt.ingress.refusals import (
     MIN_RETRY_AFTER_MS,
@@ -85,9 +87,7 @@
         request: ForwardedRequest,
         forwarder: 'RequestForwarder',
     ) -> None:
-        if request.exchange.started:
-            request.exchange.abort(CloseReason.TIMEOUT)
-        elif forwarder.may_have_run:
+        if forwarder.may_have_run:
             request.exchange.respond(HTTPStatus.GATEWAY_TIMEOUT, [])
         else:
             respond_unavailable(
@@ -119,19 +119,54 @@
             exchange.respond(response.head.status, headers, outcome.content)
             return
         try:
-            exchange.start(response.head.status, headers, response.head.length)
-            exchange.write(outcome.content)
-            while chunk := await response.body.read():
-                exchange.write(chunk)
-                await exchange.drain()
-            exchange.finish()
+            async with timeout_at(request.deadline_s) as limit:
+                exchange.on_sending = partial(_remove_limit, limit)
+                exchange.start(
+                    response.head.status, headers, response.head.length
+                )
+                await _relay(exchange, outcome.content, response.body)
+        except TimeoutError:
+            _break_off(request, CloseReason.TIMEOUT, HTTPStatus.GATEWAY_TIMEOUT)
         except IncompleteBodyError:
-            log_event(
-                'carrier:answer-cut',
-                request_id=request.info.request_id,
-                service=request.service,
+            _break_off(
+                request, CloseReason.RESPONSE_CUT, HTTPStatus.BAD_GATEWAY
             )
-            exchange.abort(CloseReason.RESPONSE_CUT)
         finally:
             if outcome.connection is not None:
                 outcome.connection.close()
+
+
+def _break_off(
+    request: ForwardedRequest, reason: CloseReason, status: HTTPStatus
+) -> None:
+    exchange = request.exchange
+    log_event(
+        'carrier:answer-cut',
+        request_id=request.info.request_id,
+        service=request.service,
+        reason=reason.value,
+        sending=exchange.sending,
+    )
+    exchange.break_off(reason, status)
+
+
+async def _relay(exchange: Exchange, content: bytes, rest: Body) -> None:
+    """Send the body of a response as it arrives.
+
+    Raises:
+        IncompleteBodyError: It broke off.
+    """
+    try:
+        exchange.write(content)
+        while chunk := await rest.read():
+            exchange.write(chunk)
+            await exchange.drain()
+    finally:
+        exchange.on_sending = None
+    exchange.finish()
+
+
+def _remove_limit(limit: Timeout) -> None:
+    """Let a response that has begun in time take longer."""
+    if not limit.expired():
+        limit.reschedule(None)
