Be certain of the past only by witnesses that were there

The daemon beside it had been restarted in a store outage in which all leases ran out, and a heartbeat from before the deregistration arrived late.

Cause: the new process knew no other daemon yet, and needed as many answers as it knew witnesses: none. `fleet:witnesses-asked` with no witnesses and `certain` shows it. By the same rule, witnesses that had restarted themselves counted, as did daemons that the old process would not have chosen.

Change: a witness states whether it was there for as long as records last and whom it would choose as witnesses; only enough such answers, from the witnesses by all that is known, make certain. Otherwise a heartbeat or a stored entry counts once the health check of the server confirms it, or by a second heartbeat as before. The new process goes on asking until it is certain or the server runs. The test mesh now stands for a fleet that has run for a while.

--- a/bergamotshunt/decisions/unconfirmed_servers.py
+++ b/bergamotshunt/decisions/unconfirmed_servers.py
@@ -55,15 +55,22 @@
         self._deregistered_instances.discard(entry.instance)
         return True
 
+    @property
+    def held(self) -> ServerEntry | None:
+        """The held announcement, unless its instance was deregistered."""
+        held = self._held
+        if held is None or self.is_deregistered(held.instance):
+            return None
+        return held
+
     def take_held(self) -> ServerEntry | None:
         """Return the held announcement, once nothing speaks against it.
 
         That of an instance that was deregistered stays held.
         """
-        held = self._held
-        if held is None or self.is_deregistered(held.instance):
-            return None
-        self._held = None
+        held = self.held
+        if held is not None:
+            self._held = None
         return held
 
 
--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -5,7 +5,9 @@
 from bergamotshunt.backend.loads import InstanceLoadReport, Load
 from bergamotshunt.decisions.configuration_confirmation import Confirmation
 from bergamotshunt.decisions.evacuations import Evacuations
+from bergamotshunt.decisions.past_knowledge import PastKnowledge
 from bergamotshunt.decisions.store_contact import StoreContact
+from bergamotshunt.decisions.watch_sources import FeedPeer
 from bergamotshunt.routing import Routing, ServerEntry
 
 
@@ -143,12 +145,26 @@
     Attributes:
         entry: The newest entry of the backend server on this host; None if
             nobody has one.
-        is_certain: Whether enough has been learned to be sure that the
-            server has not left since.
+        past: How much is known of what an earlier process acknowledged.
     """
 
     entry: ServerEntry | None
-    is_certain: bool = True
+    past: PastKnowledge = PastKnowledge.CERTAIN
+
+    @property
+    def is_certain(self) -> bool:
+        """Whether the server has surely not left since."""
+        return self.past is PastKnowledge.CERTAIN
+
+
+class AnnouncementHeld(NamedTuple):
+    """An announcement waits until the server itself tells that it runs.
+
+    Attributes:
+        entry: The entry of the server that it announces.
+    """
+
+    entry: ServerEntry
 
 
 class LeavingReported(NamedTuple):
@@ -164,7 +180,7 @@
 class LeavingRecordAsked(NamedTuple):
     """A new process asks whether the server of its host leaves.
 
-    The reply is the entry that was reported, or None.
+    The reply is a ``LeavingRecord``.
 
     Attributes:
         ip: Address of the host.
@@ -173,6 +189,20 @@
     ip: str
 
 
+class LeavingRecord(NamedTuple):
+    """What this daemon can tell of the leaving server of another host.
+
+    Attributes:
+        entry: The entry that was reported; None without one.
+        remembers_all: Whether it has heard of all that still matters.
+        witnesses: Whom it would choose as witnesses of that host.
+    """
+
+    entry: ServerEntry | None
+    remembers_all: bool
+    witnesses: tuple[FeedPeer, ...]
+
+
 class OwnLoadChanged(NamedTuple):
     """The load of the backend server on this host changed.
 
--- a/bergamotshunt/plugins/mesh/control.py
+++ b/bergamotshunt/plugins/mesh/control.py
@@ -5,13 +5,18 @@
 from typing import Final
 
 from bergamotshunt.decisions.announcements import LatestAnnouncement
+from bergamotshunt.decisions.past_knowledge import PastKnowledge
 from bergamotshunt.decisions.unconfirmed_servers import UnconfirmedServer
 from bergamotshunt.http.bodies import IncompleteBodyError
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.heads import Header
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.log import log_event
-from bergamotshunt.mesh_messages import OwnServerChanged, StoredServerRead
+from bergamotshunt.mesh_messages import (
+    AnnouncementHeld,
+    OwnServerChanged,
+    StoredServerRead,
+)
 from bergamotshunt.mesh_task import ListeningTask, settings_of
 from bergamotshunt.platform.announcements import (
     ACKNOWLEDGEMENT_BODY,
@@ -38,9 +43,9 @@
         super().__init__(context, settings_of(context).control)
         self._announcements = LatestAnnouncement()
         self._unconfirmed = UnconfirmedServer()
-        # Whether an earlier process can't have acknowledged anything that
-        # this one does not know.
-        self._is_past_known = self.mesh.is_first_start
+        self._past = PastKnowledge.UNKNOWN
+        if self.mesh.is_first_start:
+            self._past = PastKnowledge.CERTAIN
         self._stored_server_read = Event()
 
     @handlers.on(OwnServerChanged)
@@ -58,9 +63,10 @@
             self._log_server('control:leaving-restored', leaving)
             self.bus.publish(OwnServerChanged(leaving))
         self._stored_server_read.set()
-        if not message.is_certain:
+        self._past = max(self._past, message.past)
+        if self._past is not PastKnowledge.CERTAIN:
+            self._publish_held()
             return
-        self._is_past_known = True
         held = self._unconfirmed.take_held()
         if held is not None and self._announcements.record(held, now_s):
             self._log_server('control:server-changed', held)
@@ -116,6 +122,8 @@
             return HTTPStatus.BAD_REQUEST
         if not self._may_accept(entry):
             self._log_server('control:announcement-held', entry)
+            self.metrics.increment('announcements_held')
+            self._publish_held()
             return HTTPStatus.OK
         before = self._announcements.latest
         is_newer = self._announcements.record(entry, self.context.clock())
@@ -155,10 +163,16 @@
         if entry.is_leaving or is_known:
             return True
         is_deregistered = self._unconfirmed.is_deregistered(entry.instance)
-        if self._is_past_known and not is_deregistered:
+        if self._past is PastKnowledge.CERTAIN and not is_deregistered:
             return True
         return self._unconfirmed.confirm(entry, self.context.clock())
 
+    def _publish_held(self) -> None:
+        """Let the server be asked whether it runs, if that is enough."""
+        held = self._unconfirmed.held
+        if held is not None and self._past is PastKnowledge.UNOPPOSED:
+            self.bus.publish(AnnouncementHeld(held))
+
     async def _accept(
         self,
         entry: ServerEntry,
--- a/bergamotshunt/plugins/mesh/fleet.py
+++ b/bergamotshunt/plugins/mesh/fleet.py
@@ -43,6 +43,7 @@
 from bergamotshunt.store.leaving_witnesses import LeavingWitnesses
 from bergamotshunt.store.own_entry import create_own_entry
 from bergamotshunt.store.own_entry_keeper import EntryObserver, OwnEntryKeeper
+from bergamotshunt.store.past_inquiry import PastInquiry
 from bergamotshunt.store.server_entries import ServerEntries
 from bergamotshunt.store.store_watch import (
     StoreWatch,
@@ -124,6 +125,12 @@
         self._witnesses = LeavingWitnesses(
             self.mesh.ip, self._keeper.wait_until_written, self.spawn
         )
+        self._past_inquiry = PastInquiry(
+            self._witnesses,
+            self._first_peers,
+            self._is_server_known,
+            context.bus.publish,
+        )
         self._connected = True
         self._state = FeedState()
 
@@ -353,17 +360,14 @@
         if self.mesh.is_first_start:
             self.bus.publish(StoredServerRead(entry))
         else:
-            self.spawn(self._publish_newest_own(entry))
-
-    async def _publish_newest_own(self, stored: ServerEntry | None) -> None:
-        """Publish the entry, or a later one that witnesses remember.
-
-        The store lacks what was acknowledged while it was unreachable, or
-        just before it was restored from a copy.
-        """
-        peers = await self._first_peers.list_known()
-        newest = await self._witnesses.find_newest(stored, peers)
-        self.bus.publish(StoredServerRead(*newest))
+            # The store lacks what was acknowledged while it was unreachable,
+            # or just before it was restored from a copy.
+            self.spawn(self._past_inquiry.run(entry))
+
+    def _is_server_known(self) -> bool:
+        """Return whether the server of this host is known to run."""
+        server = self._keeper.server
+        return server is not None and not server.is_leaving
 
     async def _run_expiry(self) -> None:
         while True:
--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -10,11 +10,13 @@
 from bergamotshunt.backend.server_client import ServerClient
 from bergamotshunt.backend.server_relay import RunLimits, ServerRelay
 from bergamotshunt.backend.slot_queue import Refusal, RefusedError
+from bergamotshunt.decisions.past_knowledge import PastKnowledge
 from bergamotshunt.decisions.slot_refusals import SLOT_REFUSAL_REASONS
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.log import log_event
 from bergamotshunt.mesh_messages import (  # noqa: WPS235
+    AnnouncementHeld,
     DescribeState,
     EvacuationsChanged,
     LocalRequestChanged,
@@ -131,6 +133,7 @@
     @handlers.on(OwnServerChanged)
     def handle_own_server(self, message: OwnServerChanged) -> None:
         """Apply an announcement of the server, such as its start or stop."""
+        self._stored_entry = None
         if self._server.apply_announcement(message.entry):
             self._server_client.close()
         self._update_cold_rate()
@@ -155,8 +158,18 @@
         if message.entry is None:
             return
         self._server.restore_slot_share(message.entry)
-        if self._server.entry is None and message.is_certain:
+        if message.past is PastKnowledge.UNKNOWN:
+            return
+        if self._server.entry is None:
+            self._stored_entry = message.entry
+
+    @handlers.on(AnnouncementHeld)
+    def handle_held_announcement(self, message: AnnouncementHeld) -> None:
+        """Check whether a server runs whose announcement may be late."""
+        entry = self._server.entry
+        if entry is None or entry.is_leaving:
             self._stored_entry = message.entry
+            self._health_checker.record_use()
 
     @handlers.on(NestedCallStarted)
     def handle_nested_call(self, message: NestedCallStarted) -> None:
@@ -353,15 +366,15 @@
     # Health checks
 
     def _find_health_path(self) -> str | None:
-        entry = self._server.entry or self._stored_entry
+        entry = self._stored_entry or self._server.entry
         if entry is None or self._routing is None:
             return None
         service = self._routing.services_by_name.get(entry.service)
         return service.health_path if service else None
 
     def _handle_check(self, info: ServerResponseInfo, sent_ms: float) -> None:
+        self._adopt_stored(info)
         if self._server.entry is None:
-            self._adopt_stored(info)
             return
         if self._server.down:
             self._server.down = False
--- a/bergamotshunt/plugins/mesh/witnesses.py
+++ b/bergamotshunt/plugins/mesh/witnesses.py
@@ -1,14 +1,23 @@
 """Witnesses: remembers for other daemons that their servers leave."""
 
-from bergamotshunt.decisions.leaving_records import LeavingRecords
+from bergamotshunt.decisions.leaving_records import (
+    LeavingRecords,
+    choose_witnesses,
+)
+from bergamotshunt.decisions.past_knowledge import (
+    RecentDaemons,
+    remembers_all,
+)
+from bergamotshunt.decisions.watch_sources import FeedPeer
 from bergamotshunt.kernel import MESH_PLUGINS, Context, HandlerTable
 from bergamotshunt.mesh_messages import (
+    LeavingRecord,
     LeavingRecordAsked,
     LeavingReported,
     ServerEntryReceived,
+    ServersChanged,
 )
 from bergamotshunt.mesh_task import MeshTask
-from bergamotshunt.routing import ServerEntry
 
 
 class WitnessesTask(MeshTask):
@@ -25,6 +34,8 @@
         """Create a task that remembers nothing."""
         super().__init__(context)
         self._records = LeavingRecords()
+        self._recent_daemons = RecentDaemons()
+        self._started_s = context.clock()
 
     @handlers.on(LeavingReported)
     def record_leaving(self, message: LeavingReported) -> None:
@@ -33,10 +44,32 @@
         self.metrics.increment('leaving_servers_recorded')
         self.bus.publish(ServerEntryReceived(message.entry))
 
+    @handlers.on(ServersChanged)
+    def update_daemons(self, message: ServersChanged) -> None:
+        """Remember the daemons that other hosts may have as witnesses."""
+        self._recent_daemons.update(
+            (
+                FeedPeer(entry.ip, entry.inbound_port, entry.zone)
+                for entry in message.servers_by_instance.values()
+            ),
+            self.context.clock(),
+        )
+
     @handlers.on(LeavingRecordAsked)
-    def find_leaving(self, message: LeavingRecordAsked) -> ServerEntry | None:
-        """Return what is remembered of a host's server."""
-        return self._records.find(message.ip, self.context.clock())
+    def find_leaving(self, message: LeavingRecordAsked) -> LeavingRecord:
+        """Return what is remembered of a host's server, and by whom else."""
+        now_s = self.context.clock()
+        return LeavingRecord(
+            self._records.find(message.ip, now_s),
+            remembers_all(
+                self._started_s,
+                now_s,
+                is_first_start=self.mesh.is_first_start,
+            ),
+            choose_witnesses(
+                message.ip, self._recent_daemons.list_known(now_s)
+            ),
+        )
 
 
 @MESH_PLUGINS.register('witnesses')
--- a/bergamotshunt/store/leaving_witnesses.py
+++ b/bergamotshunt/store/leaving_witnesses.py
@@ -1,6 +1,6 @@
 """Daemons that remember for this one that its server leaves."""
 
-from asyncio import FIRST_COMPLETED, gather, sleep, timeout, wait
+from asyncio import FIRST_COMPLETED, gather, timeout, wait
 from asyncio import Task as AsyncioTask
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from contextlib import suppress
@@ -10,6 +10,13 @@
     choose_witnesses,
     newest_entry,
 )
+from bergamotshunt.decisions.past_knowledge import (
+    PastKnowledge,
+    WitnessAnswer,
+    confirmations_needed,
+    judge_past,
+    list_witnesses,
+)
 from bergamotshunt.decisions.watch_sources import FeedPeer
 from bergamotshunt.log import log_event
 from bergamotshunt.peers.leaving_records import (
@@ -21,24 +28,6 @@
 
 # A server counts an announcement as lost after a second without a response.
 RECORD_TIMEOUT_S: Final = 0.5
-# Two of three that have recorded an entry and two that answer have one in
-# common.
-MIN_CONFIRMATIONS: Final = 2
-# While many daemons start at once, their witnesses do, too.
-ASK_ROUNDS: Final = 4
-ASK_INTERVAL_S: Final = 0.2
-
-
-class WitnessAnswer(NamedTuple):
-    """Answer of a witness, or the reason why there is none.
-
-    Attributes:
-        entry: The entry that it remembers; None without one.
-        failure: Why it did not answer; empty if it did.
-    """
-
-    entry: ServerEntry | None = None
-    failure: str = ''
 
 
 class NewestEntry(NamedTuple):
@@ -46,11 +35,11 @@
 
     Attributes:
         entry: The entry; None if nobody has one.
-        is_certain: Whether enough witnesses have answered.
+        past: How much is known of what an earlier process acknowledged.
     """
 
     entry: ServerEntry | None
-    is_certain: bool
+    past: PastKnowledge
 
 
 class LeavingWitnesses:
@@ -105,43 +94,51 @@
         )
 
     async def find_newest(
-        self, stored: ServerEntry | None, peers: Iterable[FeedPeer]
+        self, stored: ServerEntry | None, peers: tuple[FeedPeer, ...]
     ) -> NewestEntry:
         """Return the newest entry of this host's server that is known.
 
+        Those whom the witnesses name are asked as well, unless enough is
+        known without them: they may be gone, and answer only by a timeout.
+
         Args:
             stored: The entry in the store; None if it has none.
             peers: Daemons that may be witnesses.
         """
         witnesses = choose_witnesses(self._own_ip, peers)
-        for round_number in range(ASK_ROUNDS):
-            if round_number:
-                await sleep(ASK_INTERVAL_S)
-            newest = await self._ask(stored, witnesses)
-            if newest.is_certain:
+        answers = await self._ask(witnesses)
+        while True:
+            witnesses = list_witnesses(self._own_ip, peers, answers)
+            past = judge_past(witnesses, answers)
+            asked = {answer.peer for answer in answers}
+            missing = tuple(peer for peer in witnesses if peer not in asked)
+            if past is PastKnowledge.CERTAIN or not missing:
                 break
-        return newest
-
-    async def _ask(
-        self, stored: ServerEntry | None, witnesses: tuple[FeedPeer, ...]
-    ) -> NewestEntry:
-        """Ask all witnesses once."""
-        answers = await gather(
-            *(_ask_witness(peer, self._own_ip) for peer in witnesses)
-        )
+            answers += await self._ask(missing)
         newest = newest_entry([stored, *(answer.entry for answer in answers)])
-        failures = [answer.failure for answer in answers if answer.failure]
-        needed = min(MIN_CONFIRMATIONS, len(witnesses))
-        is_certain = len(answers) - len(failures) >= needed
         log_event(
             'fleet:witnesses-asked',
             witnesses=[peer.ip for peer in witnesses],
-            failures=failures,
-            certain=is_certain,
+            asked=[answer.peer.ip for answer in answers],
+            lasting=[
+                answer.peer.ip for answer in answers if answer.remembers_all
+            ],
+            failures=[answer.failure for answer in answers if answer.failure],
+            certain=past is PastKnowledge.CERTAIN,
+            past=past.name.lower(),
             stored_state=stored and stored.state.value,
             newest_state=newest and newest.state.value,
         )
-        return NewestEntry(newest, is_certain)
+        return NewestEntry(newest, past)
+
+    async def _ask(
+        self, witnesses: tuple[FeedPeer, ...]
+    ) -> tuple[WitnessAnswer, ...]:
+        return tuple(
+            await gather(
+                *(_ask_witness(peer, self._own_ip) for peer in witnesses)
+            )
+        )
 
     def _is_recorded(self, entry: ServerEntry) -> bool:
         recorded = self._recorded
@@ -165,24 +162,24 @@
     answers = await gather(
         *(_inform_witness(peer, entry) for peer in witnesses)
     )
-    count = sum(not answer.failure for answer in answers)
-    needed = min(MIN_CONFIRMATIONS, len(witnesses))
+    count = sum(answers)
+    needed = confirmations_needed(witnesses)
     return f'{count} witnesses' if count and count >= needed else ''
 
 
-async def _inform_witness(peer: FeedPeer, entry: ServerEntry) -> WitnessAnswer:
-    try:
+async def _inform_witness(peer: FeedPeer, entry: ServerEntry) -> bool:
+    """Send an entry to a witness; return whether it has recorded it."""
+    with suppress(WitnessError):
         await send_record(peer, entry)
-    except WitnessError as error:
-        return WitnessAnswer(failure=str(error))
-    return WitnessAnswer()
+        return True
+    return False
 
 
 async def _ask_witness(peer: FeedPeer, ip: str) -> WitnessAnswer:
     try:
-        return WitnessAnswer(await fetch_record(peer, ip))
+        return await fetch_record(peer, ip)
     except WitnessError as error:
-        return WitnessAnswer(failure=str(error))
+        return WitnessAnswer(peer, failure=str(error))
 
 
 async def _wait_for_record(tasks: 'set[AsyncioTask[str]]') -> str:
--- a/bergamotshunt/tests/mesh.py
+++ b/bergamotshunt/tests/mesh.py
@@ -8,6 +8,7 @@
 
 from msgspec.json import decode, encode
 
+from bergamotshunt.decisions.leaving_records import RETENTION_S
 from bergamotshunt.http.client_pool import ClientPool
 from bergamotshunt.http.heads import Header, encode_request_head
 from bergamotshunt.http.server_connection import ServerConnection
@@ -20,6 +21,7 @@
 from bergamotshunt.plugins.mesh.inbound import InboundTask
 from bergamotshunt.plugins.mesh.outbound import OutboundTask
 from bergamotshunt.plugins.mesh.routes import RoutesTask
+from bergamotshunt.plugins.mesh.witnesses import WitnessesTask
 from standins.mesh_server import Behaviour, MeshServer
 from standins.mesh_store import MeshStore
 from standins.ports import Ports
@@ -178,6 +180,10 @@
             bounds=self._bounds,
         )
         kernel = create_mesh_kernel(settings, seed=number)
+        witnesses = kernel.tasks_by_name['witnesses']
+        assert isinstance(witnesses, WitnessesTask)
+        # The fleet has run for longer than records of leaving servers last.
+        witnesses._started_s -= RETENTION_S
         await kernel.start()
         self.hosts.append(Host(settings, kernel, server))
 
