Split the parser and the stall check off the server's connection

Cause: http/server_connection.py had 653 lines with several jobs: parsing, order of responses, time limits, closing.

A test imports a constant from its new module.

--- a/bergamotshunt/http/server_connection.py
+++ b/bergamotshunt/http/server_connection.py
@@ -2,91 +2,36 @@
 
 from asyncio import Event, TimerHandle, Transport, get_running_loop
 from asyncio import Protocol as AsyncioProtocol
-from asyncio import Task as AsyncioTask
-from collections.abc import Callable
 from http import HTTPStatus
 from math import inf
-from typing import Any, Final, Protocol
+from typing import Any, Final
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
-
-from bergamotshunt.decisions.connection_closing import (
-    ClientProgress,
-    is_stalled,
-    stall_deadline_s,
-    update_progress,
-)
+from bergamotshunt.decisions.connection_closing import stall_deadline_s
 from bergamotshunt.http.connection_ends import (
     CloseReason,
-    ConnectionEnd,
     EndRecorder,
     OpenConnections,
 )
+from bergamotshunt.http.connection_owner import ConnectionOwner
 from bergamotshunt.http.exchanges import Exchange
-from bergamotshunt.http.hangups import HangupWatcher
-from bergamotshunt.http.heads import (
-    HeadTooLargeError,
-    HeaderCollector,
-    RequestHead,
-    encode_framing_head,
-)
+from bergamotshunt.http.heads import RequestHead
 from bergamotshunt.http.lingering_close import (
     CHECK_INTERVAL_S,
     LingeringClose,
 )
+from bergamotshunt.http.request_parser import RequestParser
 from bergamotshunt.http.response_queue import ResponseQueue
-from bergamotshunt.http.send_queue import count_undelivered_bytes
 from bergamotshunt.http.sockets import format_address, set_socket_options
-from bergamotshunt.routing import ClientLimits
+from bergamotshunt.http.stall_check import StallCheck
 
 MS_PER_S: Final = 1000
 # Reading pauses while a connection has more unfinished requests than this.
 MAX_PIPELINED_REQUESTS: Final = 64
-# Longest pieces that are parsed at a time: while a head is due, and while a
-# body is, behind which requests may follow, too.
-HEAD_PIECE_BYTES: Final = 2048
-BODY_PIECE_BYTES: Final = 16_384
 # A request may cross the close of a connection for one of these reasons.
 IDLE_REASONS: Final = frozenset((CloseReason.IDLE, CloseReason.SHUTDOWN))
-CONNECT: Final = b'CONNECT'
 CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-class ConnectionOwner(Protocol):
-    """Interface of the listener that accepted a connection.
-
-    Attributes:
-        limits: Limits for clients.
-        connections: All open connections.
-        hangup_watcher: Watches connections that are not read.
-        closing: Whether connections close after their next response.
-        closing_idle: Whether idle connections close at once.
-        on_connection_end: Called with the end of each connection.
-        create_close_notice: Returns what an idle connection sends before it
-            closes.
-    """
-
-    limits: ClientLimits
-    connections: 'set[ServerConnection]'
-    hangup_watcher: HangupWatcher
-    closing: bool
-    closing_idle: bool
-    on_connection_end: 'Callable[[ConnectionEnd], None]'
-    create_close_notice: 'Callable[[], bytes]'
-
-    def now_s(self) -> float:
-        """Return the loop time in seconds."""
-
-    def start_handler(self, exchange: Exchange) -> 'AsyncioTask[None]':
-        """Start the handler of a request in a task."""
-
-    def report_progress(self) -> None:
-        """Report that a connection may have become idle."""
-
-    def limit_unread(self) -> None:
-        """Close connections if their clients leave too much output unread."""
-
-
 class ServerConnection(AsyncioProtocol):
     """A client's connection; the handler of each request runs in a task."""
 
@@ -94,15 +39,9 @@
         """Create a protocol that is not connected yet."""
         self._listener = listener
         self._transport: Transport | None = None
-        # None after the end of the connection: it refers back to this object.
-        self._parser: Any = HttpRequestParser(self)
-        # Received bytes that wait until fewer requests are unfinished.
-        self._unparsed = b''
+        self._parser = RequestParser(self)
         self._exchanges = ResponseQueue()
         self._arriving: Exchange | None = None
-        self._headers = HeaderCollector()
-        self._target = b''
-        self._head_bytes = 0
         self._head_start_s: float = 0
         self._idle_since_s: float = 0
         self._timer: TimerHandle | None = None
@@ -111,19 +50,11 @@
         self._pause_count: int = 0
         self._is_pipeline_full = False
         self._rejecting = False
-        # The request whose head is complete offers another protocol.
-        self._offers_upgrade = False
-        # The parser gets a head that was parsed before, for its body only.
-        self._repeats_head = False
         self._lingering_close: LingeringClose | None = None
         self._end_recorder = EndRecorder()
         self._last_response_s = -inf
         self._last_deadline_s = -inf
-        self._written_bytes = 0
-        self._received_body_bytes = 0
-        self._progress = ClientProgress(
-            is_awaited=False, moved_bytes=0, draining=False, since_s=0
-        )
+        self._stall_check = StallCheck()
 
     # Transport callbacks
 
@@ -138,7 +69,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject malformed and too large heads."""
-        self._parse(self._unparsed + data if self._unparsed else data)
+        self._parser.feed(data)
 
     def eof_received(self) -> bool:
         """Close the connection: the client has closed its side."""
@@ -156,8 +87,7 @@
         self._report_end(exc)
         self._cancel_exchanges('the client closed its connection')
         self._transport = None
-        self._parser = None
-        self._unparsed = b''
+        self._parser.close()
         self._listener.report_progress()
 
     def pause_writing(self) -> None:
@@ -173,73 +103,86 @@
         self._end_recorder.record_unsent(self._count_unsent_bytes())
         self._listener.report_progress()
 
-    # Parser callbacks
+    # Interface for the parser
 
-    def on_message_begin(self) -> None:
-        """Start to collect the head of a request."""
-        if self._repeats_head:
-            return
-        self._headers = HeaderCollector()
-        self._target = b''
-        self._head_start_s = self._listener.now_s()
-        if not self._ignores_requests():
-            self._arriving = Exchange(self)
+    @property
+    def max_head_bytes(self) -> int:
+        """Limit on the size of a request head."""
+        return self._listener.limits.head_bytes
 
-    def on_url(self, url: bytes) -> None:
-        """Collect the request target."""
-        self._target += url
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request may start now."""
+        return self._is_pipeline_full
 
-    def on_header(self, name: bytes, content: bytes) -> None:
-        """Collect a header; trailers are dropped."""
-        if self._arriving is not None and not self._arriving.head.method:
-            self._headers.add(name, content, self._listener.limits.head_bytes)
+    @property
+    def drops_input(self) -> bool:
+        """Whether no request is served any more."""
+        return self._rejecting or self._ignores_requests()
 
-    def on_headers_complete(self) -> None:
+    def begin_request(self) -> bool:
+        """Begin a request unless the last response is announced."""
+        self._head_start_s = self._listener.now_s()
+        if self._ignores_requests():
+            return False
+        self._arriving = Exchange(self)
+        return True
+
+    def receive_head(self, head: RequestHead, *, is_last: bool) -> None:
         """Start the handler of a request, or reject a too long body."""
         exchange = self._arriving
-        if exchange is None or self._repeats_head:
-            self._repeats_head = False
+        if exchange is None:
             return
-        self._head_bytes = 0
-        exchange.head = self._create_head()
-        self._offers_upgrade = self._parser.should_upgrade()
+        exchange.head = head
         exchange.arrived_s = self._listener.now_s()
-        if not self._parser.should_keep_alive():
+        if is_last:
             exchange.closing = True
         self._exchanges.append(exchange)
-        if exchange.head.by_name.get(b'expect', b'').lower() == b'100-continue':
+        if head.by_name.get(b'expect', b'').lower() == b'100-continue':
             if self._exchanges.is_first(exchange):
                 self._transmit(CONTINUE)
         self._limit_pipelining()
-        length = exchange.head.length
+        length = head.length
         if length is not None and length > self._listener.limits.body_bytes:
             self._reject_exchange(exchange, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
         exchange.task = self._listener.start_handler(exchange)
 
-    def on_body(self, body: bytes) -> None:
+    def receive_body(self, chunk: bytes) -> None:
         """Add received bytes to the body; reject a too long one."""
         exchange = self._arriving
         if exchange is None:
             return
-        self._received_body_bytes += len(body)
-        exchange.body.feed(body)
+        self._stall_check.received_body_bytes += len(chunk)
+        exchange.body.feed(chunk)
         if exchange.body.received_bytes > self._listener.limits.body_bytes:
             self._reject_exchange(exchange, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
-    def on_message_complete(self) -> None:
+    def end_request(self) -> None:
         """Complete the request."""
-        if self._offers_upgrade:
-            # The parser takes what follows for the other protocol.
-            return
         exchange = self._arriving
         self._arriving = None
-        self._head_bytes = 0
         if exchange is not None:
             exchange.body.finish()
         self._limit_pipelining()
         self.flush()
 
+    def end_requests(self) -> None:
+        """Serve the last request, then close: no request follows it."""
+        if self._exchanges:
+            self._exchanges.last.closing = True
+
+    def reject(self, status: HTTPStatus) -> None:
+        """Reject the request that arrives, and all that follows."""
+        if self._rejecting or self._lingering_close is not None:
+            return
+        exchange = self._arriving or Exchange(self)
+        if exchange not in self._exchanges:
+            self._exchanges.append(exchange)
+        self._reject_exchange(exchange, status)
+
+    # Interface for the listener
+
     @property
     def state(self) -> OpenConnections:
         """The responses that this connection has not sent yet."""
@@ -352,7 +295,13 @@
             self._timer.cancel()
         if self._transport is None or self._lingering_close:
             return
-        if self._is_client_stalled():
+        if self._stall_check.is_client_stalled(
+            self._transport,
+            self._listener.now_s(),
+            self._stall_deadline_s,
+            is_awaited=self._is_client_awaited(),
+            draining=self._listener.closing,
+        ):
             self.abort(CloseReason.STALLED)
             return
         wait_s = self._check_request_timeouts()
@@ -366,7 +315,7 @@
     def _transmit(self, chunk: bytes) -> None:
         if self._transport is not None and self._lingering_close is None:
             self._transport.write(chunk)
-            self._written_bytes += len(chunk)
+            self._stall_check.written_bytes += len(chunk)
             if not self._can_write.is_set():
                 self._listener.limit_unread()
 
@@ -384,47 +333,6 @@
             self.eof_received()
             self._transport.close()
 
-    def _parse(self, received: bytes) -> None:
-        """Parse received bytes until too many requests are unfinished.
-
-        One read may bring thousands of short requests, so it is parsed in
-        short pieces.
-        """
-        unparsed = memoryview(received)
-        while unparsed and not self._is_pipeline_full:
-            if self._rejecting or self._ignores_requests():
-                unparsed = unparsed[:0]
-                break
-            size = BODY_PIECE_BYTES if self._is_in_body() else HEAD_PIECE_BYTES
-            self._parse_piece(unparsed[:size])
-            unparsed = unparsed[size:]
-        self._unparsed = bytes(unparsed)
-
-    def _resume_parsing(self) -> None:
-        self._parse(self._unparsed)
-
-    def _parse_piece(self, piece: memoryview) -> None:
-        if not self._is_in_body():
-            self._head_bytes += len(piece)
-        try:
-            self._parser.feed_data(piece)
-        except HttpParserUpgrade as upgrade:
-            head_end = upgrade.args[0]
-            self._ignore_upgrade(piece[head_end:])
-        except HttpParserError as error:
-            is_large = isinstance(error.__context__, HeadTooLargeError)
-            self._reject(
-                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                if is_large
-                else HTTPStatus.BAD_REQUEST
-            )
-        if self._head_bytes > self._listener.limits.head_bytes:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
-    def _is_in_body(self) -> bool:
-        """Whether the next bytes belong to the body of a request."""
-        return self._arriving is not None and bool(self._arriving.head.method)
-
     def _flush_response(self, exchange: Exchange) -> bool:
         """Write output of the next response; remove it when complete.
 
@@ -457,8 +365,8 @@
         if is_full is not self._is_pipeline_full:
             self._is_pipeline_full = is_full
             self.set_reading(not is_full)
-            if self._unparsed and not is_full:
-                get_running_loop().call_soon(self._resume_parsing)
+            if self._parser.has_unparsed and not is_full:
+                get_running_loop().call_soon(self._parser.resume)
 
     def _is_full(self) -> bool:
         """Return whether no further request may start.
@@ -469,58 +377,7 @@
         """
         if len(self._exchanges) > MAX_PIPELINED_REQUESTS:
             return True
-        return not self._can_write.is_set() and not self._is_in_body()
-
-    def _ignore_upgrade(self, unparsed: memoryview) -> None:
-        """Parse on as if the client had not offered another protocol.
-
-        The parser skips the body of such a request and all that follows, so
-        another one continues behind its head.
-
-        Args:
-            unparsed: Received bytes behind the head.
-        """
-        exchange = self._arriving
-        self._offers_upgrade = False
-        if exchange is None or exchange.head.method == CONNECT:
-            self._end_requests()
-            return
-        self._parser = HttpRequestParser(self)
-        self._repeats_head = True
-        self._parser.feed_data(encode_framing_head(exchange.head))
-        if unparsed:
-            self._parse_piece(unparsed)
-
-    def _end_requests(self) -> None:
-        """Serve the last request, then close: no request follows it."""
-        if self._arriving is not None:
-            self.on_message_complete()
-        if self._exchanges:
-            self._exchanges.last.closing = True
-
-    def _create_head(self) -> RequestHead:
-        headers = tuple(self._headers.headers)
-        by_name = {name.lower(): content for name, content in headers}
-        length: int | None = 0
-        if b'transfer-encoding' in by_name:
-            length = None
-        elif b'content-length' in by_name:
-            length = int(by_name[b'content-length'])
-        return RequestHead(
-            method=self._parser.get_method(),
-            target=self._target,
-            headers=headers,
-            by_name=by_name,
-            length=length,
-        )
-
-    def _reject(self, status: HTTPStatus) -> None:
-        if self._rejecting or self._lingering_close is not None:
-            return
-        exchange = self._arriving or Exchange(self)
-        if exchange not in self._exchanges:
-            self._exchanges.append(exchange)
-        self._reject_exchange(exchange, status)
+        return not self._can_write.is_set() and not self._parser.is_in_body
 
     def _reject_exchange(self, exchange: Exchange, status: HTTPStatus) -> None:
         self._rejecting = True
@@ -592,33 +449,12 @@
             self._end_recorder.end(error, due_request_ids)
         )
 
-    def _is_client_stalled(self) -> bool:
-        """Update the progress of the client; return whether it has none."""
-        now_s = self._listener.now_s()
-        current = ClientProgress(
-            is_awaited=self._is_client_awaited(),
-            moved_bytes=self._count_moved_bytes(),
-            draining=self._listener.closing,
-            since_s=now_s,
-        )
-        self._progress = update_progress(self._progress, current)
-        stall_end_s = self._stall_deadline_s(self._progress.since_s)
-        return is_stalled(self._progress, now_s, stall_end_s)
-
     def _is_client_awaited(self) -> bool:
         """Whether unsent bytes, or a body that nobody reads, hold it open."""
         if self._count_unsent_bytes():
             return True
         return bool(self._exchanges) and self._exchanges.first.finished
 
-    def _count_moved_bytes(self) -> int:
-        if self._transport is None:
-            return 0
-        undelivered_bytes = count_undelivered_bytes(self._transport)
-        taken_bytes = self._written_bytes - undelivered_bytes
-        # A client may send its whole body before it reads the response.
-        return taken_bytes + self._received_body_bytes
-
     def _check_request_timeouts(self) -> float:
         """Reject a late head; close an idle connection.
 
@@ -633,7 +469,7 @@
         if self._arriving is not None and not self._arriving.head.method:
             due_s = self._head_start_s + limits.head_timeout_ms / MS_PER_S
             if now_s >= due_s:
-                self._reject(HTTPStatus.REQUEST_TIMEOUT)
+                self.reject(HTTPStatus.REQUEST_TIMEOUT)
                 return wait_s
         elif self._exchanges or self._arriving is not None:
             return wait_s
--- a/bergamotshunt/tests/test_mesh_parser_memory.py
+++ b/bergamotshunt/tests/test_mesh_parser_memory.py
@@ -12,10 +12,8 @@
 )
 from bergamotshunt.http.exchanges import Exchange
 from bergamotshunt.http.listeners import Listener
-from bergamotshunt.http.server_connection import (
-    BODY_PIECE_BYTES,
-    MAX_PIPELINED_REQUESTS,
-)
+from bergamotshunt.http.request_parser import BODY_PIECE_BYTES
+from bergamotshunt.http.server_connection import MAX_PIPELINED_REQUESTS
 
 IP = '127.0.0.1'
 KIB = 1024
