Let control decide on servers that a health check finds

The task that checks the server's health put it in force itself. A check that was answered before the server deregistered then undid the deregistration of a server whose announcement was held, and nothing of it was recorded for the next process.

Change: the check reports `ServerFoundRunning`, and control, which knows what was acknowledged, puts the server in force. A deregistration takes up a held announcement of its instance.

Result: the new test of a deregistration during a check fails on (the server is serving) and passes here, as do the tests of deregistrations, drains, witnesses and store eras.

--- a/bergamotshunt/mesh_messages.py
+++ b/bergamotshunt/mesh_messages.py
@@ -157,6 +157,16 @@
         return self.past is PastKnowledge.CERTAIN
 
 
+class ServerFoundRunning(NamedTuple):
+    """A health check has found the server of a stored entry, or a held one.
+
+    Attributes:
+        entry: The entry of the server.
+    """
+
+    entry: ServerEntry
+
+
 class AnnouncementHeld(NamedTuple):
     """An announcement waits until the server itself tells that it runs.
 
--- a/bergamotshunt/plugins/mesh/control.py
+++ b/bergamotshunt/plugins/mesh/control.py
@@ -15,6 +15,7 @@
 from bergamotshunt.mesh_messages import (
     AnnouncementHeld,
     OwnServerChanged,
+    ServerFoundRunning,
     StoredServerRead,
 )
 from bergamotshunt.mesh_task import ListeningTask, settings_of
@@ -72,6 +73,18 @@
             self._log_server('control:server-changed', held)
             self.bus.publish(OwnServerChanged(held))
 
+    @handlers.on(ServerFoundRunning)
+    def handle_running_server(self, message: ServerFoundRunning) -> None:
+        """Use a server before it announces itself again.
+
+        It may have been deregistered while its health was checked.
+        """
+        entry = message.entry
+        if self._unconfirmed.is_deregistered(entry.instance):
+            return
+        if self._announcements.record(entry, self.context.clock()):
+            self.bus.publish(OwnServerChanged(entry))
+
     async def serve(self, exchange: Exchange) -> None:
         """Serve an announcement or a deregistration."""
         path = exchange.head.target.decode('latin-1').partition('?')[0]
@@ -134,6 +147,7 @@
 
     async def _handle_deregistration(self, instance: str) -> HTTPStatus:
         before = self._announcements.latest
+        self._take_up_held(instance)
         is_known = self._announcements.record_deregistration(instance)
         entry = self._announcements.latest
         if is_known and entry is not None:
@@ -143,6 +157,12 @@
             log_event('control:unknown-instance-left', instance=instance)
         return HTTPStatus.OK
 
+    def _take_up_held(self, instance: str) -> None:
+        """Take a held announcement for known, as its instance leaves."""
+        held = self._unconfirmed.held
+        if held is not None and held.instance == instance:
+            self._announcements.record(held, self.context.clock())
+
     def _restore(self, stored: ServerEntry, now_s: float) -> bool:
         """Apply an earlier entry; return whether its server leaves."""
         is_leaving = self._announcements.restore(stored, now_s)
--- a/bergamotshunt/plugins/mesh/inbound.py
+++ b/bergamotshunt/plugins/mesh/inbound.py
@@ -25,6 +25,7 @@
     OwnServerChanged,
     OwnServiceUsed,
     RoutingChanged,
+    ServerFoundRunning,
     SlotShareEstimated,
     StoredServerRead,
 )
@@ -397,7 +398,7 @@
             if info.cold_ms is not None:
                 # The stored time is of the first announcement.
                 stored = stored._replace(cold_ms=info.cold_ms)
-            self.bus.publish(OwnServerChanged(stored))
+            self.bus.publish(ServerFoundRunning(stored))
 
 
 @MESH_PLUGINS.register('inbound')
--- a/bergamotshunt/store/first_peers.py
+++ b/bergamotshunt/store/first_peers.py
@@ -39,6 +39,7 @@
         self._on_failure = on_failure
         self._searched = Event()
         self._found: tuple[FeedPeer, ...] = ()
+        self._is_listed_again = False
 
     async def find(self, *, is_first_start: bool) -> tuple[FeedPeer, ...]:
         """Return daemons that may pass on what the store tells.
@@ -53,10 +54,17 @@
         return self._found
 
     async def list_known(self) -> tuple[FeedPeer, ...]:
-        """Return all peers, once the search for those to follow has ended."""
+        """Return all peers, once the search for those to follow has ended.
+
+        Without any, the store is listed once more; later calls rely on what
+        the daemon hears of the entries.
+        """
         await self._searched.wait()
         known = self._entries.list_peers() or self._found
-        return known or await self._list_peers()
+        if not known and not self._is_listed_again:
+            self._is_listed_again = True
+            self._found = await self._list_peers()
+        return known or self._found
 
     async def _find(self, *, is_first_start: bool) -> tuple[FeedPeer, ...]:
         peers = await self._list_peers()
--- a/bergamotshunt/tests/test_past_knowledge.py
+++ b/bergamotshunt/tests/test_past_knowledge.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from typing import Any, NamedTuple
 
 import pytest
@@ -22,9 +23,10 @@
     remembers_all,
 )
 from bergamotshunt.decisions.watch_sources import FeedPeer
-from bergamotshunt.mesh_messages import StoredServerRead
+from bergamotshunt.mesh_messages import ServerFoundRunning, StoredServerRead
 from bergamotshunt.peers import leaving_records
 from bergamotshunt.peers.leaving_records import WitnessError
+from bergamotshunt.platform.announcements import decode_entry, entry_key
 from bergamotshunt.store import leaving_witnesses
 from bergamotshunt.store.leaving_witnesses import LeavingWitnesses
 from bergamotshunt.tests.mesh import Mesh, send_request
@@ -40,6 +42,8 @@
 from standins.mesh_server import respond_with_echo
 
 WAIT_S = 15.0
+# Time in which the response to a health check arrives.
+CHECK_WAIT_S = 0.5
 # Time for which the other daemons do not write their entries again.
 WRITE_DELAY_S = 1.0
 OWN_IP = LEAVING.ip
@@ -281,6 +285,43 @@
     asyncio.run(run_scenario())
 
 
+def test_deregistration_counts_while_the_health_of_a_held_server_is_checked() -> (
+    None
+):
+    """Guards against a check that was answered before the server left.
+
+    Nobody is there to ask, so that the server itself has to tell that it runs;
+    it deregisters while its response is on its way.
+    """
+
+    async def run_scenario() -> None:
+        async with Mesh([respond_with_echo] * HOSTS) as mesh:
+            for host in mesh.hosts:
+                await host.kernel.stop()
+            await mesh.store.expire_leases()
+            server = mesh.hosts[LEAVER].server
+            server.may_respond_to_probes.clear()
+            probes = server.probes
+            messages = await mesh.start_again(LEAVER, ServerFoundRunning)
+            assert await mesh.announce(LEAVER, seq=8, born=BORN_MS) == 200
+            await mesh.wait_until(lambda: server.probes > probes)
+            await deregister(mesh)
+            server.may_respond_to_probes.set()
+            # The response arrives, or is no longer of interest.
+            with suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_WAIT_S):
+                    await messages.get()
+            assert await mesh.announce(LEAVER, seq=9, born=BORN_MS) == 200
+            assert not mesh.is_serving(LEAVER)
+            # The store has it for the next process.
+            key = entry_key(mesh.hosts[LEAVER].settings.ip)
+            await mesh.wait_until(lambda: bool(mesh.store.read_values(key)))
+            (content,) = mesh.store.read_values(key).values()
+            assert decode_entry(content).is_leaving
+
+    asyncio.run(run_scenario())
+
+
 def test_unusable_witnesses_of_a_peer_count_as_no_answer(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
