Ignore heartbeats without a start time where the server states one

Another writer sent heartbeats without `born` to its daemon.

Cause: a missing start time was read as 0, an earlier start.

Change: once an announcement or the stored entry has stated a start time, one without it is ignored. Servers that never state it are accepted as before.

--- a/bergamotshunt/decisions/announcements.py
+++ b/bergamotshunt/decisions/announcements.py
@@ -79,6 +79,8 @@
         Returns:
             Whether it is newer than the latest one.
         """
+        if self._is_of_unknown_start(entry):
+            return False
         entry = self._renumber(entry)
         latest = self.latest
         if is_newer_announcement(entry, latest):
@@ -113,6 +115,15 @@
         self.latest = latest._replace(state=AnnouncedState.DEREGISTERED)
         return True
 
+    def _is_of_unknown_start(self, entry: ServerEntry) -> bool:
+        """Return whether an announcement lacks the start time of its server.
+
+        A server that states it does so always, so that one without it comes
+        from another writer. It cannot be told whether its server still runs.
+        """
+        known = self.latest or self._stored
+        return known is not None and bool(known.born_ms) and not entry.born_ms
+
     def _accept(self, entry: ServerEntry, now_s: float) -> None:
         self.latest = entry
         self._heard_s = now_s
--- a/bergamotshunt/tests/test_clock_step.py
+++ b/bergamotshunt/tests/test_clock_step.py
@@ -117,3 +117,29 @@
     assert announcements.record(announcement('i-a', 5000, 3), 4.5)
     assert announcements.latest is not None
     assert not announcements.latest.is_leaving
+
+
+def test_heartbeats_without_a_start_time_bring_no_server_back() -> None:
+    """Guards against a deregistered server that another writer brings back.
+
+    Its heartbeats lack the start time, which the server always states. They
+    are taken for nobody's, also by the next process, which has the entry.
+    """
+    running = create_running()
+    entry = running.latest
+    assert entry is not None
+    assert running.record_deregistration(entry.instance)
+    restarted = LatestAnnouncement()
+    restarted.restore(entry, 0)
+    for announcements in (running, restarted):
+        for sequence in range(1, 20):
+            odd = announcement(entry.instance, 0, sequence)
+            assert not announcements.record(odd, 10 + HEARTBEAT_S * sequence)
+
+
+def test_server_that_never_states_its_start_is_accepted() -> None:
+    """Guards against a server of an earlier version that is ignored."""
+    announcements = LatestAnnouncement()
+    for sequence in (1, 2):
+        odd = announcement('i-a', 0, sequence)
+        assert announcements.record(odd, HEARTBEAT_S * sequence)
