Drop a held announcement that none has followed

After 30 s a process is certain, as no record of a leaving server can exist any more, and applied an announcement that it had held since its start: a late heartbeat of a server that has left would have counted then.

Change: what was held for over 4 s, in which a server that runs announces itself twice, is not applied any more, neither by certainty nor by the health check.

Result: the new test passes, and fails without the check of the age. The tests of witnesses, deregistrations and drains pass.

--- a/bergamotshunt/decisions/unconfirmed_servers.py
+++ b/bergamotshunt/decisions/unconfirmed_servers.py
@@ -7,6 +7,7 @@
 
 from typing import Final
 
+from bergamotshunt.decisions.announcements import MAX_SILENCE_S
 from bergamotshunt.routing import ServerEntry
 
 # Announcements that were delayed together arrive closer to each other.
@@ -55,20 +56,39 @@
         self._deregistered_instances.discard(entry.instance)
         return True
 
-    @property
-    def held(self) -> ServerEntry | None:
-        """The held announcement, unless its instance was deregistered."""
+    def find_held(self, now_s: float) -> ServerEntry | None:
+        """Return the held announcement if it may be of a server that runs.
+
+        That of an instance that was deregistered is not, nor one that no
+        other has followed for long.
+
+        Args:
+            now_s: Monotonic time.
+        """
         held = self._held
         if held is None or self.is_deregistered(held.instance):
             return None
-        return held
+        return None if self.is_outdated(held, now_s) else held
+
+    def is_outdated(self, entry: ServerEntry, now_s: float) -> bool:
+        """Return whether an entry was held, and no other has followed.
+
+        Args:
+            entry: An entry of the server.
+            now_s: Monotonic time.
+        """
+        held = self._held
+        if held is None or _incarnation_of(held) != _incarnation_of(entry):
+            return False
+        return now_s - self._held_since_s > MAX_SILENCE_S
 
-    def take_held(self) -> ServerEntry | None:
+    def take_held(self, now_s: float) -> ServerEntry | None:
         """Return the held announcement, once nothing speaks against it.
 
-        That of an instance that was deregistered stays held.
+        Args:
+            now_s: Monotonic time.
         """
-        held = self.held
+        held = self.find_held(now_s)
         if held is not None:
             self._held = None
         return held
--- a/bergamotshunt/plugins/mesh/control.py
+++ b/bergamotshunt/plugins/mesh/control.py
@@ -68,7 +68,7 @@
         if self._past is not PastKnowledge.CERTAIN:
             self._publish_held()
             return
-        held = self._unconfirmed.take_held()
+        held = self._unconfirmed.take_held(now_s)
         if held is not None and self._announcements.record(held, now_s):
             self._log_server('control:server-changed', held)
             self.bus.publish(OwnServerChanged(held))
@@ -79,10 +79,12 @@
 
         It may have been deregistered while its health was checked.
         """
-        entry = message.entry
+        entry, now_s = message.entry, self.context.clock()
         if self._unconfirmed.is_deregistered(entry.instance):
             return
-        if self._announcements.record(entry, self.context.clock()):
+        if self._unconfirmed.is_outdated(entry, now_s):
+            return
+        if self._announcements.record(entry, now_s):
             self.bus.publish(OwnServerChanged(entry))
 
     async def serve(self, exchange: Exchange) -> None:
@@ -159,9 +161,10 @@
 
     def _take_up_held(self, instance: str) -> None:
         """Take a held announcement for known, as its instance leaves."""
-        held = self._unconfirmed.held
+        now_s = self.context.clock()
+        held = self._unconfirmed.find_held(now_s)
         if held is not None and held.instance == instance:
-            self._announcements.record(held, self.context.clock())
+            self._announcements.record(held, now_s)
 
     def _restore(self, stored: ServerEntry, now_s: float) -> bool:
         """Apply an earlier entry; return whether its server leaves."""
@@ -189,7 +192,7 @@
 
     def _publish_held(self) -> None:
         """Let the server be asked whether it runs, if that is enough."""
-        held = self._unconfirmed.held
+        held = self._unconfirmed.find_held(self.context.clock())
         if held is not None and self._past is PastKnowledge.UNOPPOSED:
             self.bus.publish(AnnouncementHeld(held))
 
--- a/bergamotshunt/tests/test_mesh_leaving_witnesses.py
+++ b/bergamotshunt/tests/test_mesh_leaving_witnesses.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bergamotshunt.decisions.announcements import MAX_SILENCE_S
 from bergamotshunt.decisions.leaving_records import (
     RETENTION_S,
     WITNESS_COUNT,
@@ -282,4 +283,16 @@
     unconfirmed.confirm(ENTRY, 0)
     unconfirmed.record_deregistration(ENTRY.instance)
     unconfirmed.confirm(ENTRY, 1)
-    assert unconfirmed.take_held() is None
+    assert unconfirmed.take_held(1) is None
+
+
+def test_single_heartbeat_is_not_taken_from_the_hold_long_afterwards() -> None:
+    """Guards against a late heartbeat that counts once records have expired.
+
+    A server that runs would have announced itself again.
+    """
+    unconfirmed = UnconfirmedServer()
+    unconfirmed.confirm(ENTRY, 0)
+    assert unconfirmed.find_held(MAX_SILENCE_S) == ENTRY
+    assert unconfirmed.take_held(RETENTION_S) is None
+    assert unconfirmed.is_outdated(ENTRY, RETENTION_S)
