Take a server that replaces a running one without a check

Cause: a process that was not certain of the past stayed so for good once its server ran, and held the announcement of each later server of the host until a health check or a second heartbeat.

Change: a server that has started after one that this process has heard to run is taken at once, since no earlier process can have known it. The inquiry goes on to its end, without asking while the server runs, and is certain then.

--- a/bergamotshunt/plugins/mesh/control.py
+++ b/bergamotshunt/plugins/mesh/control.py
@@ -2,6 +2,7 @@
 
 from asyncio import Event, timeout
 from http import HTTPStatus
+from math import inf
 from typing import Final
 
 from bergamotshunt.decisions.announcements import LatestAnnouncement
@@ -48,11 +49,17 @@
         if self.mesh.is_first_start:
             self._past = PastKnowledge.CERTAIN
         self._stored_server_read = Event()
+        # Start of the latest server that this process has heard to run. What
+        # has started since, no earlier process can have known.
+        self._running_born_ms = inf
 
     @handlers.on(OwnServerChanged)
     def handle_own_server(self, message: OwnServerChanged) -> None:
         """Store the server's entry, to compare later announcements with."""
-        self._announcements.record(message.entry, self.context.clock())
+        entry = message.entry
+        self._announcements.record(entry, self.context.clock())
+        if not entry.is_leaving:
+            self._running_born_ms = entry.born_ms
 
     @handlers.on(StoredServerRead)
     def handle_stored_server(self, message: StoredServerRead) -> None:
@@ -186,7 +193,9 @@
         if entry.is_leaving or is_known:
             return True
         is_deregistered = self._unconfirmed.is_deregistered(entry.instance)
-        if self._past is PastKnowledge.CERTAIN and not is_deregistered:
+        is_new = entry.born_ms > self._running_born_ms
+        is_certain = is_new or self._past is PastKnowledge.CERTAIN
+        if is_certain and not is_deregistered:
             return True
         return self._unconfirmed.confirm(entry, self.context.clock())
 
@@ -212,6 +221,8 @@
             entry.state,
         ):
             self._log_server('control:server-changed', entry)
+        if not entry.is_leaving:
+            self._running_born_ms = entry.born_ms
         await self.bus.ask_all(OwnServerChanged(entry))
 
     def _log_server(self, name: str, entry: ServerEntry) -> None:
--- a/bergamotshunt/store/past_inquiry.py
+++ b/bergamotshunt/store/past_inquiry.py
@@ -25,7 +25,7 @@
         witnesses: Asks the witnesses.
         first_peers: Lists the daemons that may be witnesses.
         is_server_known: Returns whether the server of this host is known to
-            run, so that nothing is left to find out.
+            run, so that nobody needs to be asked.
         publish: Takes what has been learned, whenever it is more.
     """
 
@@ -51,10 +51,11 @@
         """
         newest = NewestEntry(stored, PastKnowledge.UNKNOWN)
         for interval_s in _list_intervals_s():
-            peers = await self._first_peers.list_known()
-            newest = await self._witnesses.find_newest(stored, peers)
-            self._publish_more(StoredServerRead(*newest))
-            if newest.past is PastKnowledge.CERTAIN or self._is_server_known():
+            if not self._is_server_known():
+                peers = await self._first_peers.list_known()
+                newest = await self._witnesses.find_newest(stored, peers)
+                self._publish_more(StoredServerRead(*newest))
+            if newest.past is PastKnowledge.CERTAIN:
                 return
             await sleep(interval_s)
         # What was acknowledged before the start is no longer kept anywhere.
